Add the workspace, the base, net and wire packages and the design page

Cause: nothing exists yet, and every other package needs ids, errors, logs, sockets, messages and a page to build against.

--- /dev/null
+++ b/cmake/BuckthorndeckPackage.cmake
@@ -0,0 +1,37 @@
+find_package(Threads REQUIRED)
+find_package(Boost 1.81 REQUIRED COMPONENTS system)
+find_package(nlohmann_json REQUIRED)
+find_package(prometheus-cpp REQUIRED CONFIG)
+find_package(PkgConfig REQUIRED)
+find_package(Catch2 2 REQUIRED)
+pkg_check_modules(SODIUM REQUIRED IMPORTED_TARGET libsodium)
+pkg_check_modules(LOG4CPLUS REQUIRED IMPORTED_TARGET log4cplus)
+pkg_check_modules(XXHASH REQUIRED IMPORTED_TARGET libxxhash)
+
+add_library(buckthorndeck_options INTERFACE)
+target_compile_options(buckthorndeck_options INTERFACE -Wall -Wextra -Werror -Wno-missing-field-initializers)
+# One thread runs each process's io_context, so Asio's own locks are never contended.
+target_compile_definitions(buckthorndeck_options INTERFACE BOOST_ASIO_NO_DEPRECATED
+                                                           BUCKTHORNDECK_VERSION="${PROJECT_VERSION}")
+if(BUCKTHORNDECK_SANITIZE)
+  target_compile_options(buckthorndeck_options INTERFACE -fsanitize=address,undefined -fno-sanitize-recover=all)
+  target_link_options(buckthorndeck_options INTERFACE -fsanitize=address,undefined)
+endif()
+
+# Declares the library `buckthorndeck_<name>` from src/ and its test program `<name>_tests` from tests/.
+#   buckthorndeck_package(name DEPENDS other packages... LIBRARIES external targets...)
+function(buckthorndeck_package Name)
+  cmake_parse_arguments(Arg "" "" "DEPENDS;LIBRARIES" ${ARGN})
+  file(GLOB_RECURSE Sources CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/src/buckthorndeck/*.cpp)
+  add_library(buckthorndeck_${Name} STATIC ${Sources})
+  target_include_directories(buckthorndeck_${Name} PUBLIC ${CMAKE_CURRENT_SOURCE_DIR}/src)
+  list(TRANSFORM Arg_DEPENDS PREPEND buckthorndeck_)
+  target_link_libraries(buckthorndeck_${Name} PUBLIC buckthorndeck_options ${Arg_DEPENDS} ${Arg_LIBRARIES})
+
+  file(GLOB TestSources CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/tests/*Tests.cpp)
+  if(BUILD_TESTING AND TestSources)
+    add_executable(${Name}_tests ${TestSources} ${CMAKE_SOURCE_DIR}/cmake/TestMain.cpp)
+    target_link_libraries(${Name}_tests PRIVATE buckthorndeck_${Name} Catch2::Catch2)
+    add_test(NAME ${Name}_tests COMMAND ${Name}_tests --order rand --rng-seed 20261204)
+  endif()
+endfunction()
--- /dev/null
+++ b/cmake/TestMain.cpp
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
--- /dev/null
+++ b/packages/config/src/buckthorndeck/config/Objects.cpp
@@ -0,0 +1,1 @@
+#include "buckthorndeck/config/Objects.h"
--- /dev/null
+++ b/packages/config/src/buckthorndeck/config/Objects.h
@@ -0,0 +1,93 @@
+#ifndef BUCKTHORNDECK_CONFIG_OBJECTS_H
+#define BUCKTHORNDECK_CONFIG_OBJECTS_H
+
+#include "buckthorndeck/base/Ids.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+//! The objects that operators declare. Every name is "namespace/name", and
+//! references stay within one namespace.
+namespace buckthorndeck::config {
+
+//! A failure domain in a region, as one community names it.
+struct Place {
+  ObjectName Name;
+  RegionName Region;
+  FailureDomainName FailureDomain;
+
+  friend bool operator==(const Place &, const Place &) = default;
+};
+
+struct Service {
+  ObjectName Name;
+  ServiceAddress Address; //!< Unique over all namespaces.
+
+  friend bool operator==(const Service &, const Service &) = default;
+};
+
+struct BackendServer {
+  ObjectName Name;
+  ObjectName Place;
+  ObjectName Service;
+  std::string Address;         //!< TCP "a.b.c.d:port", unique.
+  Generation ServerGeneration; //!< Raised when the address changes hands.
+  std::uint32_t Slots = 1;     //!< Requests that it runs at the same time.
+  std::uint32_t Connections = 2000;
+  bool Draining = false;
+
+  friend bool operator==(const BackendServer &,
+                         const BackendServer &) = default;
+};
+
+struct Operation {
+  std::string Name;
+  bool Idempotent = false;
+
+  friend bool operator==(const Operation &, const Operation &) = default;
+};
+
+//! What counts more for a service when its servers are chosen.
+enum class Objective : std::uint8_t {
+  Continuity, //!< Keep a flow on its server while that server is eligible.
+  Balance,    //!< Compare all servers for every request.
+};
+
+//! What one service accepts and how it is limited. Each service has exactly
+//! one rule.
+struct Rule {
+  ObjectName Name;
+  ObjectName Service;
+  std::vector<Operation> Operations; //!< Others are refused.
+  Objective Goal = Objective::Continuity;
+  std::uint32_t MaxInFlight = 1000; //!< Requests per entry host.
+  std::uint32_t MaxQueued = 1000;   //!< Waiting requests per entry host.
+
+  friend bool operator==(const Rule &, const Rule &) = default;
+};
+
+//! Asks an entry host to stop gracefully.
+struct EntryHostDrain {
+  ObjectName Name;
+  EntryHostName Host;
+
+  friend bool operator==(const EntryHostDrain &,
+                         const EntryHostDrain &) = default;
+};
+
+//! A whole configuration.
+struct ObjectSet {
+  std::map<ObjectName, Place> Places;
+  std::map<ObjectName, Service> Services;
+  std::map<ObjectName, BackendServer> BackendServers;
+  std::map<ObjectName, Rule> Rules;
+  std::map<ObjectName, EntryHostDrain> EntryHostDrains;
+
+  friend bool operator==(const ObjectSet &, const ObjectSet &) = default;
+};
+
+} // namespace buckthorndeck::config
+
+#endif // BUCKTHORNDECK_CONFIG_OBJECTS_H
--- /dev/null
+++ b/packages/routing/src/buckthorndeck/routing/Dispatcher.cpp
@@ -0,0 +1,1 @@
+#include "buckthorndeck/routing/Dispatcher.h"
--- /dev/null
+++ b/packages/wire/src/buckthorndeck/wire/Envelope.cpp
@@ -0,0 +1,40 @@
+#include "buckthorndeck/wire/Envelope.h"
+
+#include "buckthorndeck/wire/Datagram.h"
+
+namespace buckthorndeck::wire {
+
+namespace {
+constexpr unsigned MaxType = 255;
+} // namespace
+
+Bytes encodeEnvelope(unsigned Type, Json Fields) {
+  return encodeCbor(Json::array({ProtocolVersion, Type, std::move(Fields)}));
+}
+
+Expected<Envelope> decodeEnvelope(ByteView Payload, const std::string &Step,
+                                  const std::string &Peer) {
+  const auto Failed = [&](const std::string &Message) {
+    return Unexpected(Error{.Code = ErrorCode::Invalid,
+                            .Step = Step,
+                            .Peer = Peer,
+                            .Message = Message});
+  };
+  if (Payload.size() > MaxDatagramBytes)
+    return Failed("the datagram is longer than " +
+                  std::to_string(MaxDatagramBytes) + " bytes");
+  auto Item = decodeCbor(Payload, Step, Peer);
+  if (!Item)
+    return Unexpected(Item.error());
+  if (!Item->is_array() || Item->size() != 3)
+    return Failed("not an array of version, type and fields");
+  if ((*Item)[0] != ProtocolVersion)
+    return Failed("unknown protocol version");
+  const Json &Type = (*Item)[1];
+  if (!Type.is_number_unsigned() || Type.get<std::uint64_t>() > MaxType)
+    return Failed("unknown message type");
+  return Envelope{.Type = Type.get<unsigned>(),
+                  .Fields = std::move((*Item)[2])};
+}
+
+} // namespace buckthorndeck::wire
--- /dev/null
+++ b/packages/wire/src/buckthorndeck/wire/Token.cpp
@@ -0,0 +1,63 @@
+#include "buckthorndeck/wire/Token.h"
+
+#include "buckthorndeck/base/FieldReader.h"
+#include "buckthorndeck/wire/Datagram.h"
+
+namespace buckthorndeck::wire {
+
+namespace {
+
+constexpr std::size_t MaxHostNameBytes = 32;
+constexpr std::size_t MaxServerNameBytes = 56;
+
+} // namespace
+
+Bytes mintToken(const MacKey &Key, const Token &Contents,
+                const ServiceAddress &Service) {
+  const Json Fields = {
+      {"h", Contents.Home.value()},
+      {"i", Contents.HomeIncarnation.value()},
+      {"f", Contents.Flow.value()},
+      {"s", Contents.Server.value()},
+      {"g", Contents.ServerGeneration.value()},
+      {"m", static_cast<std::uint64_t>(Contents.MintedAt.count())}};
+  Bytes Sealed = encodeCbor(Fields);
+  const Mac Tag = authenticate(Key, Service.value(), Sealed);
+  Sealed.insert(Sealed.end(), Tag.begin(), Tag.end());
+  return Sealed;
+}
+
+Expected<Token> openToken(const MacKey &Key, ByteView Sealed,
+                          const ServiceAddress &Service, FlowId Flow,
+                          const std::string &Peer) {
+  const std::string Step = "check token";
+  const auto Failed = [&](const std::string &Message) {
+    return Unexpected(Error{.Code = ErrorCode::Invalid,
+                            .Step = Step,
+                            .Peer = Peer,
+                            .Message = Message});
+  };
+  if (Sealed.size() <= MacBytes || Sealed.size() > MaxTokenBytes)
+    return Failed("wrong length");
+  const ByteView Encoded = Sealed.first(Sealed.size() - MacBytes);
+  if (!verify(Key, Service.value(), Encoded, Sealed.last(MacBytes)))
+    return Failed("wrong MAC for this service");
+  auto Fields = decodeCbor(Encoded, Step, Peer);
+  if (!Fields)
+    return Unexpected(Fields.error());
+  FieldReader Reader(*Fields, Step, Peer);
+  Token Contents{.Home = EntryHostName(Reader.text("h", MaxHostNameBytes, 1)),
+                 .HomeIncarnation = Incarnation(Reader.number("i")),
+                 .Flow = FlowId(Reader.number("f")),
+                 .Server = ObjectName(Reader.text("s", MaxServerNameBytes)),
+                 .ServerGeneration = Generation(Reader.number("g")),
+                 .MintedAt =
+                     std::chrono::milliseconds(Reader.number("m", INT64_MAX))};
+  if (Reader.failed())
+    return Unexpected(Reader.error());
+  if (Contents.Flow != Flow)
+    return Failed("the token belongs to another flow");
+  return Contents;
+}
+
+} // namespace buckthorndeck::wire
