Add the dispatcher: channels, selection, jobs and subscriptions

Cause: the entry host needs something that runs requests on backend servers.

Change: one channel task per server (connect, check hello, receive, jittered backoff), selection by expected time with power of two choices or a comparison of all servers, jobs as one coroutine each, a queue ordered by deadline, and subscriptions that move when their server drains or is lost. After a refusal a server is left alone for about the time in which one of its slots should become free; this replaces a list of servers tried per job, and stops waiting jobs from asking a full server again and again.

Ruled out: a list of tried servers per job; every waiting job would ask every full server anew.

Conclusion: routing_tests pass.

--- a/packages/routing/src/buckthorndeck/routing/Dispatcher.cpp
+++ b/packages/routing/src/buckthorndeck/routing/Dispatcher.cpp
@@ -1,1 +1,169 @@
 #include "buckthorndeck/routing/Dispatcher.h"
+
+#include "buckthorndeck/base/Hash.h"
+#include "buckthorndeck/routing/internal/CancelSignal.h"
+#include "buckthorndeck/routing/internal/Feed.h"
+#include "buckthorndeck/routing/internal/JobTask.h"
+#include "buckthorndeck/routing/internal/ServicePool.h"
+
+#include <algorithm>
+#include <gsl/gsl_util>
+#include <map>
+
+namespace buckthorndeck::routing {
+
+namespace {
+
+using ServersByService =
+    std::map<ObjectName, std::vector<config::BackendServer>>;
+
+ServersByService groupByService(const config::ObjectSet &Objects) {
+  ServersByService Result;
+  for (const auto &[Name, Server] : Objects.BackendServers)
+    Result[Server.Service].push_back(Server);
+  return Result;
+}
+
+//! Different hosts choose different servers, and a host keeps its choice when
+//! other servers come and go.
+void keepByRendezvous(std::vector<config::BackendServer> &Servers,
+                      const EntryHostName &Host, std::size_t Limit) {
+  if (Servers.size() <= Limit)
+    return;
+  std::sort(Servers.begin(), Servers.end(),
+            [&](const auto &Left, const auto &Right) {
+              return rendezvousScore(Host.value(), Left.Name.value()) >
+                     rendezvousScore(Host.value(), Right.Name.value());
+            });
+  Servers.resize(Limit);
+}
+
+class FeedHandle : public Subscription {
+public:
+  explicit FeedHandle(std::shared_ptr<Feed> Upstream)
+      : Upstream(std::move(Upstream)) {}
+  ~FeedHandle() override { Upstream->close(); }
+  FeedHandle(const FeedHandle &) = delete;
+  FeedHandle &operator=(const FeedHandle &) = delete;
+
+  Sequence position() const override { return Upstream->position(); }
+  std::optional<Affinity> server() const override { return Upstream->server(); }
+
+private:
+  std::shared_ptr<Feed> Upstream;
+};
+
+} // namespace
+
+std::shared_ptr<CancelSignal> makeCancelSignal(const Executor &Where) {
+  return std::make_shared<CancelSignal>(Where);
+}
+
+void cancel(CancelSignal &Signal) {
+  Signal.Cancelled = true;
+  Signal.Changed.notifyAll();
+}
+
+struct Dispatcher::State {
+  State(Executor Where, DispatcherOptions Options)
+      : Where(Where), Options(std::move(Options)), Idle(Where) {}
+
+  std::shared_ptr<ServicePool> find(const ObjectName &Service) const {
+    const auto Found = Pools.find(Service);
+    return Found == Pools.end() ? nullptr : Found->second;
+  }
+
+  std::shared_ptr<ServicePool> findOrAdd(const ObjectName &Service) {
+    auto &Pool = Pools[Service];
+    if (!Pool)
+      Pool = std::make_shared<ServicePool>(
+          Where, Options.RandomSeed ^ digestOf(Service.value()).value());
+    return Pool;
+  }
+
+  void apply(const config::ObjectSet &Objects) {
+    ServersByService Servers = groupByService(Objects);
+    std::erase_if(Pools, [&](const auto &Entry) {
+      if (!Servers.contains(Entry.first))
+        Entry.second->retire();
+      // Jobs and subscriptions of a removed service still hold its pool.
+      return !Servers.contains(Entry.first) && Entry.second.use_count() == 1;
+    });
+    for (const auto &[Name, Rule] : Objects.Rules) {
+      auto &Declared = Servers[Rule.Service];
+      keepByRendezvous(Declared, Options.Host, Options.MaxServersPerService);
+      findOrAdd(Rule.Service)->apply(Rule, Declared);
+    }
+  }
+
+  Executor Where;
+  DispatcherOptions Options;
+  std::map<ObjectName, std::shared_ptr<ServicePool>> Pools;
+  std::size_t JobsInProgress = 0;
+  Notifier Idle;
+};
+
+Dispatcher::Dispatcher(Executor Where, DispatcherOptions Options)
+    : Shared(std::make_shared<State>(std::move(Where), std::move(Options))) {}
+
+Dispatcher::~Dispatcher() {
+  for (auto &[Name, Pool] : Shared->Pools)
+    Pool->stop();
+}
+
+void Dispatcher::apply(const config::ObjectSet &Objects) {
+  Shared->apply(Objects);
+}
+
+Task<JobResult> Dispatcher::run(Job Work,
+                                std::shared_ptr<CancelSignal> Signal) {
+  const std::shared_ptr<State> Kept = Shared;
+  const auto Pool = Kept->find(Work.Service);
+  if (!Pool)
+    co_return JobResult{.Result = wire::Outcome::NotRun,
+                        .Reason = "no_service"};
+  if (!Signal)
+    Signal = makeCancelSignal(Kept->Where);
+  ++Kept->JobsInProgress;
+  const auto Leave = gsl::finally([&] {
+    if (--Kept->JobsInProgress == 0)
+      Kept->Idle.notifyAll();
+  });
+  JobTask Running(Pool, std::move(Work), std::move(Signal));
+  co_return co_await Running.run();
+}
+
+std::unique_ptr<Subscription>
+Dispatcher::subscribe(SubscriptionRequest Wanted) {
+  const auto Pool = Shared->findOrAdd(Wanted.Service);
+  auto Upstream =
+      std::make_shared<Feed>(Shared->Where, Pool, std::move(Wanted));
+  spawn(Shared->Where, "upstream_subscription", Feed::serve(Upstream));
+  return std::make_unique<FeedHandle>(std::move(Upstream));
+}
+
+std::optional<Affinity> Dispatcher::suggest(const ObjectName &Service) {
+  const auto Pool = Shared->find(Service);
+  if (!Pool)
+    return std::nullopt;
+  const auto Server = Pool->suggest(Clock::now());
+  if (!Server)
+    return std::nullopt;
+  return Server->affinity();
+}
+
+std::vector<ServerStatus> Dispatcher::status() const {
+  std::vector<ServerStatus> Result;
+  for (const auto &[Name, Pool] : Shared->Pools)
+    for (const auto &Server : Pool->channels())
+      Result.push_back(Server->status());
+  return Result;
+}
+
+Task<> Dispatcher::drained() {
+  const std::shared_ptr<State> Kept = Shared;
+  while (Kept->JobsInProgress != 0)
+    co_await Kept->Idle.wait();
+}
+
+} // namespace buckthorndeck::routing
--- /dev/null
+++ b/packages/routing/src/buckthorndeck/routing/Selection.h
@@ -0,0 +1,41 @@
+#ifndef BUCKTHORNDECK_ROUTING_SELECTION_H
+#define BUCKTHORNDECK_ROUTING_SELECTION_H
+
+#include "buckthorndeck/base/Random.h"
+#include "buckthorndeck/config/Objects.h"
+#include "buckthorndeck/routing/ServerLoad.h"
+
+#include <cstddef>
+#include <optional>
+#include <span>
+
+namespace buckthorndeck::routing {
+
+//! A server of one service, as the choice sees it.
+struct Candidate {
+  const ServerLoad *Load = nullptr;
+  bool Ejected = false;
+};
+
+//! Whether a request may be sent to the server now.
+bool isEligible(const Candidate &Server, TimePoint Now);
+
+//! Expected time to finish one more request; lower is better.
+double score(const ServerLoad &Load, TimePoint Now);
+
+/**
+ * Index of the server that gets the next request; none if no server is
+ * eligible.
+ *
+ * Preferred is the index of the affinity server. Continuity takes it while it
+ * is eligible and otherwise the better of two random servers. Balance compares
+ * all servers and ignores the affinity.
+ */
+std::optional<std::size_t> chooseServer(std::span<const Candidate> Servers,
+                                        config::Objective Goal,
+                                        std::optional<std::size_t> Preferred,
+                                        TimePoint Now, RandomEngine &Random);
+
+} // namespace buckthorndeck::routing
+
+#endif // BUCKTHORNDECK_ROUTING_SELECTION_H
--- /dev/null
+++ b/packages/routing/src/buckthorndeck/routing/internal/CancelSignal.h
@@ -0,0 +1,19 @@
+#ifndef BUCKTHORNDECK_ROUTING_INTERNAL_CANCELSIGNAL_H
+#define BUCKTHORNDECK_ROUTING_INTERNAL_CANCELSIGNAL_H
+
+#include "buckthorndeck/net/Notifier.h"
+
+namespace buckthorndeck::routing {
+
+//! Wakes the task of one job: for a cancel, an answer or its turn in a queue.
+class CancelSignal {
+public:
+  explicit CancelSignal(Executor Where) : Changed(std::move(Where)) {}
+
+  Notifier Changed;
+  bool Cancelled = false;
+};
+
+} // namespace buckthorndeck::routing
+
+#endif // BUCKTHORNDECK_ROUTING_INTERNAL_CANCELSIGNAL_H
--- /dev/null
+++ b/packages/routing/src/buckthorndeck/routing/internal/Channel.h
@@ -0,0 +1,133 @@
+#ifndef BUCKTHORNDECK_ROUTING_INTERNAL_CHANNEL_H
+#define BUCKTHORNDECK_ROUTING_INTERNAL_CHANNEL_H
+
+#include "buckthorndeck/base/Random.h"
+#include "buckthorndeck/config/Objects.h"
+#include "buckthorndeck/net/Notifier.h"
+#include "buckthorndeck/net/WebSocket.h"
+#include "buckthorndeck/routing/Dispatcher.h"
+#include "buckthorndeck/routing/ServerLoad.h"
+#include "buckthorndeck/wire/ServerMessage.h"
+
+#include <map>
+#include <memory>
+#include <optional>
+
+namespace buckthorndeck::routing {
+
+//! How one attempt at one server ended.
+struct RunReply {
+  enum class Kind {
+    Done,       //!< The server ran the request.
+    NotStarted, //!< The server's own answer proves that it did not run.
+    GivenUp,    //!< The server started the request and gave it up.
+    Lost,       //!< The connection ended without an answer.
+  };
+  Kind End = Kind::Lost;
+  bool Ok = false; //!< For Done: the server reported no error.
+  Bytes Body;
+};
+
+//! One request that was sent to a server.
+struct ActiveRun {
+  std::uint64_t Id = 0;
+  TimePoint SentAt;
+  std::shared_ptr<CancelSignal> Owner; //!< Woken by the reply.
+  std::optional<RunReply> Reply;
+};
+
+//! Receives the messages of one upstream subscription.
+class EventReceiver {
+public:
+  virtual ~EventReceiver() = default;
+  virtual void onEvent(Sequence Number, const Bytes &Body) = 0;
+  //! The server drains; the subscription goes on for now.
+  virtual void onDraining() = 0;
+  //! The server ended the subscription or is lost.
+  virtual void onEnded() = 0;
+};
+
+/**
+ * The connection to one backend server.
+ *
+ * One task connects, checks `hello`, receives until the connection ends and
+ * connects again. Everything else runs on the same thread and only queues
+ * messages.
+ */
+class Channel : public std::enable_shared_from_this<Channel> {
+public:
+  //! OnChange is called when the server may have become able to take work.
+  Channel(Executor Where, config::BackendServer Declared, std::uint64_t Seed,
+          std::function<void()> OnChange);
+
+  //! Runs until retire() or close().
+  static Task<> serve(std::shared_ptr<Channel> Self);
+
+  //! Whether the channel belongs to this declaration. Slots and drain may
+  //! differ, they are changed by update().
+  bool matches(const config::BackendServer &Declaration) const;
+  void update(const config::BackendServer &Declaration);
+
+  //! Sends a request; null, having sent nothing, if it cannot be queued.
+  std::shared_ptr<ActiveRun> run(const Job &Work, TimePoint Now,
+                                 std::shared_ptr<CancelSignal> Owner);
+  //! Asks the server to give a request up, so that its slot becomes free.
+  void abandon(ActiveRun &Run);
+
+  //! Opens an upstream subscription; 0 if it cannot be sent.
+  std::uint64_t subscribe(const SubscriptionRequest &Wanted, Sequence After,
+                          std::weak_ptr<EventReceiver> Receiver);
+  void unsubscribe(std::uint64_t Id);
+
+  //! Takes no new work and closes once everything in progress has ended.
+  void retire();
+  //! Ends the connection and the task now.
+  void close();
+
+  const config::BackendServer &declared() const { return Declared; }
+  const ServerLoad &load() const { return Load; }
+  Affinity affinity() const;
+  std::size_t subscriptions() const { return Receivers.size(); }
+  ServerStatus status() const;
+
+private:
+  Task<Expected<wire::ServerHello>> connect();
+  Task<Expected<wire::ServerHello>> receiveHello();
+  bool isExpected(const wire::ServerHello &Hello) const;
+  void admit(const wire::ServerHello &Hello);
+  Task<> receiveAll();
+  Task<> backOff(bool Mismatch);
+  void dropAll();
+  void closeIfIdle();
+  bool isDraining() const;
+  void startDrain();
+
+  void handle(const wire::ServerHello &Message);
+  void handle(const wire::ServerDone &Message);
+  void handle(const wire::ServerRefused &Message);
+  void handle(const wire::ServerCancelled &Message);
+  void handle(const wire::ServerEvent &Message);
+  void handle(const wire::ServerEnded &Message);
+  void handle(const wire::ServerDraining &Message);
+  std::shared_ptr<ActiveRun> takeRun(std::uint64_t Id);
+  void finish(ActiveRun &Run, RunReply Reply);
+
+  Executor Where;
+  config::BackendServer Declared;
+  RandomEngine Random;
+  std::function<void()> OnChange;
+  Notifier Stopped;
+  WebSocket::Pointer Link;
+  ServerLoad Load;
+  std::map<std::uint64_t, std::shared_ptr<ActiveRun>> Runs;
+  std::map<std::uint64_t, std::weak_ptr<EventReceiver>> Receivers;
+  std::uint64_t LastId = 0;
+  unsigned FailedConnects = 0;
+  bool AnnouncedDraining = false;
+  bool Retired = false;
+  bool Closed = false;
+};
+
+} // namespace buckthorndeck::routing
+
+#endif // BUCKTHORNDECK_ROUTING_INTERNAL_CHANNEL_H
--- /dev/null
+++ b/packages/routing/src/buckthorndeck/routing/internal/ServicePool.h
@@ -0,0 +1,67 @@
+#ifndef BUCKTHORNDECK_ROUTING_INTERNAL_SERVICEPOOL_H
+#define BUCKTHORNDECK_ROUTING_INTERNAL_SERVICEPOOL_H
+
+#include "buckthorndeck/base/Random.h"
+#include "buckthorndeck/config/Objects.h"
+#include "buckthorndeck/routing/Dispatcher.h"
+#include "buckthorndeck/routing/Selection.h"
+#include "buckthorndeck/routing/internal/Channel.h"
+#include "buckthorndeck/routing/internal/WaitQueue.h"
+
+#include <memory>
+#include <vector>
+
+namespace buckthorndeck::routing {
+
+//! The servers of one service and the jobs that wait for them.
+class ServicePool : public std::enable_shared_from_this<ServicePool> {
+public:
+  ServicePool(Executor Where, std::uint64_t Seed);
+
+  //! Takes over the service's rule and the servers that this host uses.
+  void apply(const config::Rule &Rule,
+             const std::vector<config::BackendServer> &Servers);
+  //! No declaration is left: every server is retired.
+  void retire();
+  //! Ends all connections; waiting jobs end at once.
+  void stop();
+
+  //! Server for the next request; null if none is eligible now.
+  std::shared_ptr<Channel> choose(const std::optional<Affinity> &Preferred,
+                                  TimePoint Now);
+  //! Server for a subscription; null if none is connected.
+  std::shared_ptr<Channel>
+  chooseForSubscription(const std::optional<Affinity> &Preferred);
+  //! Server to name in a token.
+  std::shared_ptr<Channel> suggest(TimePoint Now);
+  //! When the first waiting job should try again without a wake-up.
+  TimePoint nextTry(TimePoint Now);
+
+  bool hasServers() const { return !Channels.empty(); }
+  bool isStopped() const { return Stopped; }
+  const std::vector<std::shared_ptr<Channel>> &channels() const {
+    return Channels;
+  }
+  RandomEngine &random() { return Random; }
+
+  WaitQueue Queue;
+  std::uint32_t InFlight = 0;
+  config::Rule Limits;
+
+private:
+  std::shared_ptr<Channel> takeChannel(const config::BackendServer &Server);
+  std::shared_ptr<Channel> openChannel(const config::BackendServer &Server);
+  std::vector<Candidate> candidates() const;
+  std::optional<std::size_t>
+  indexOf(const std::optional<Affinity> &Wanted) const;
+
+  Executor Where;
+  RandomEngine Random;
+  std::vector<std::shared_ptr<Channel>> Channels;
+  std::vector<std::weak_ptr<Channel>> Retiring;
+  bool Stopped = false;
+};
+
+} // namespace buckthorndeck::routing
+
+#endif // BUCKTHORNDECK_ROUTING_INTERNAL_SERVICEPOOL_H
--- /dev/null
+++ b/packages/routing/src/buckthorndeck/routing/internal/WaitQueue.cpp
@@ -0,0 +1,30 @@
+#include "buckthorndeck/routing/internal/WaitQueue.h"
+
+#include "buckthorndeck/routing/internal/CancelSignal.h"
+
+#include <iterator>
+
+namespace buckthorndeck::routing {
+
+WaitQueue::Entry WaitQueue::add(TimePoint Deadline,
+                                std::shared_ptr<CancelSignal> Signal) {
+  return Waiters.emplace(Deadline, std::move(Signal));
+}
+
+void WaitQueue::remove(Entry Waiting) { Waiters.erase(Waiting); }
+
+std::size_t WaitQueue::position(Entry Waiting) {
+  return static_cast<std::size_t>(std::distance(Waiters.begin(), Waiting));
+}
+
+void WaitQueue::wakeFirst() {
+  if (!Waiters.empty())
+    Waiters.begin()->second->Changed.notifyAll();
+}
+
+void WaitQueue::wakeAll() {
+  for (auto &[Deadline, Signal] : Waiters)
+    Signal->Changed.notifyAll();
+}
+
+} // namespace buckthorndeck::routing
--- /dev/null
+++ b/packages/routing/tests/Fixture.h
@@ -0,0 +1,116 @@
+#ifndef BUCKTHORNDECK_ROUTING_TESTS_FIXTURE_H
+#define BUCKTHORNDECK_ROUTING_TESTS_FIXTURE_H
+
+#include "FakeServer.h"
+#include "buckthorndeck/routing/Dispatcher.h"
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/io_context.hpp>
+#include <initializer_list>
+
+namespace buckthorndeck::routing {
+
+//! A dispatcher, the servers that a test gave it and a thread's io_context.
+class Fixture {
+public:
+  Executor where() { return Context.get_executor(); }
+
+  FakeServer &server(const std::string &Name, FakeServer::OnCommand Answer,
+                     std::uint32_t Slots = 2) {
+    Servers.push_back(
+        std::make_unique<FakeServer>(where(), Name, std::move(Answer), Slots));
+    declare(*Servers.back());
+    return *Servers.back();
+  }
+
+  void declare(const FakeServer &Server) {
+    const config::BackendServer Declared = Server.declaration();
+    Objects.BackendServers[Declared.Name] = Declared;
+  }
+
+  //! Applies the configuration and waits until Count servers are connected.
+  Task<> connect(std::size_t Count) {
+    Objects.Rules[Rule.Name] = Rule;
+    Routes.apply(Objects);
+    co_await waitUntil(
+        [Count](Fixture &Self) { return Self.inState("connected") >= Count; });
+  }
+
+  std::size_t inState(const std::string &State) const {
+    const auto All = Routes.status();
+    return static_cast<std::size_t>(
+        std::count_if(All.begin(), All.end(), [&](const ServerStatus &Server) {
+          return Server.State == State;
+        }));
+  }
+
+  //! Lets other tasks run until Condition holds. The dispatcher has no event
+  //! for these conditions, so they are looked at again and again.
+  Task<> waitUntil(std::function<bool(Fixture &)> Condition) {
+    while (!Condition(*this))
+      co_await sleepFor(Milliseconds(1));
+  }
+
+  Job job(bool Idempotent = false, Milliseconds TimeLeft = Minute) {
+    return Job{.Service = ObjectName("ns/service"),
+               .Operation = "op",
+               .Idempotent = Idempotent,
+               .Deadline = Clock::now() + TimeLeft,
+               .Body = toBytes("body")};
+  }
+
+  //! Starts a job whose result appears in the returned object.
+  std::shared_ptr<std::optional<JobResult>>
+  start(Job Work, std::shared_ptr<CancelSignal> Signal = nullptr) {
+    auto Result = std::make_shared<std::optional<JobResult>>();
+    spawn(where(), "test_job",
+          runInto(this, std::move(Work), std::move(Signal), Result));
+    return Result;
+  }
+  Task<JobResult> resultOf(std::shared_ptr<std::optional<JobResult>> Result) {
+    while (!*Result)
+      co_await Finished.wait();
+    co_return **Result;
+  }
+
+  //! Runs the body of a test; an exception that leaves it is rethrown.
+  void run(Task<> (*Body)(Fixture &)) {
+    std::exception_ptr Failure;
+    bool Ended = false;
+    boost::asio::co_spawn(Context, Body(*this),
+                          [&](const std::exception_ptr &Thrown) {
+                            Failure = Thrown;
+                            Ended = true;
+                            Context.stop();
+                          });
+    Context.run_for(Limit);
+    if (Failure)
+      std::rethrow_exception(Failure);
+    REQUIRE(Ended);
+  }
+
+  static constexpr Milliseconds Minute{60'000};
+  //! A test that waits for an event that never comes fails after this time.
+  static constexpr std::chrono::seconds Limit{60};
+
+  boost::asio::io_context Context{1};
+  config::ObjectSet Objects;
+  config::Rule Rule{.Name = ObjectName("ns/rule"),
+                    .Service = ObjectName("ns/service")};
+  Notifier Finished{where()};
+  std::vector<std::unique_ptr<FakeServer>> Servers;
+  Dispatcher Routes{where(), DispatcherOptions{.Host = EntryHostName("host")}};
+
+private:
+  static Task<> runInto(Fixture *Self, Job Work,
+                        std::shared_ptr<CancelSignal> Signal,
+                        std::shared_ptr<std::optional<JobResult>> Result) {
+    *Result = co_await Self->Routes.run(std::move(Work), std::move(Signal));
+    Self->Finished.notifyAll();
+  }
+};
+
+} // namespace buckthorndeck::routing
+
+#endif // BUCKTHORNDECK_ROUTING_TESTS_FIXTURE_H
