Add object files, validation, digest and the reading side of the configuration

Cause: entry hosts, the sync package and buckthornctl need the declared objects, and operators need every mistake in their files at once.

Change: object files with a JSON Schema, validation of the whole set, the stored form with its XXH3 digest, the manifest, a reader that verifies every digest, and a store client with deadlines, jittered backoff, a retry budget and a circuit breaker. A write is repeated only while no attempt can have reached the store.

Ruled out: a cycle search, since references go from servers and rules to places and services and never back. Validating the stored form with the JSON Schema: the range-checked reader names the same fields without compiling a schema on every entry host.

--- /dev/null
+++ b/packages/config/src/buckthorndeck/config/CallPolicy.cpp
@@ -0,0 +1,61 @@
+#include "buckthorndeck/config/CallPolicy.h"
+
+#include <algorithm>
+
+namespace buckthorndeck::config {
+
+Milliseconds backoffDelay(const BackoffOptions &Options, unsigned Attempt,
+                          RandomEngine &Engine) {
+  // 2^20 times any sensible first delay is beyond every maximum.
+  const auto Factor = std::int64_t{1} << std::min(Attempt, 20U);
+  const Milliseconds Full = std::min(Options.Max, Options.First * Factor);
+  const auto Half = static_cast<double>(Full.count()) / 2;
+  return Milliseconds(
+      static_cast<std::int64_t>(Half + Half * randomUnit(Engine)));
+}
+
+void recordCall(RetryBudget &Budget) {
+  Budget.Left =
+      std::min(Budget.Options.Max, Budget.Left + Budget.Options.PerCall);
+}
+
+bool takeRetry(RetryBudget &Budget, TimePoint Now) {
+  if (Budget.Updated != TimePoint{} && Now > Budget.Updated) {
+    const std::chrono::duration<double> Elapsed = Now - Budget.Updated;
+    Budget.Left =
+        std::min(Budget.Options.Max,
+                 Budget.Left + Elapsed.count() * Budget.Options.PerSecond);
+  }
+  Budget.Updated = Now;
+  if (Budget.Left < 1.0)
+    return false;
+  Budget.Left -= 1.0;
+  return true;
+}
+
+bool isOpen(const CircuitBreaker &Breaker) {
+  return Breaker.Failures >= Breaker.Options.Failures;
+}
+
+bool admitCall(CircuitBreaker &Breaker, TimePoint Now) {
+  if (!isOpen(Breaker))
+    return true;
+  if (Breaker.Probing || Now < Breaker.OpenUntil)
+    return false;
+  Breaker.Probing = true;
+  return true;
+}
+
+void recordSuccess(CircuitBreaker &Breaker) {
+  Breaker.Failures = 0;
+  Breaker.Probing = false;
+}
+
+void recordFailure(CircuitBreaker &Breaker, TimePoint Now) {
+  ++Breaker.Failures;
+  Breaker.Probing = false;
+  if (isOpen(Breaker))
+    Breaker.OpenUntil = Now + Breaker.Options.Open;
+}
+
+} // namespace buckthorndeck::config
--- /dev/null
+++ b/packages/config/src/buckthorndeck/config/ObjectId.h
@@ -0,0 +1,26 @@
+#ifndef BUCKTHORNDECK_CONFIG_OBJECTID_H
+#define BUCKTHORNDECK_CONFIG_OBJECTID_H
+
+#include "buckthorndeck/base/Ids.h"
+
+#include <string>
+
+namespace buckthorndeck::config {
+
+//! Kind and name of a declared object. Names are unique only within a kind.
+struct ObjectId {
+  std::string Kind; //!< For example "backend_server".
+  ObjectName Name;
+
+  friend auto operator<=>(const ObjectId &, const ObjectId &) = default;
+};
+
+//! "kind namespace/name".
+std::string describe(const ObjectId &Id);
+
+//! "namespace" of "namespace/name"; empty if there is no slash.
+std::string namespaceOf(const ObjectName &Name);
+
+} // namespace buckthorndeck::config
+
+#endif // BUCKTHORNDECK_CONFIG_OBJECTID_H
--- /dev/null
+++ b/packages/config/src/buckthorndeck/config/PublishedReader.cpp
@@ -0,0 +1,139 @@
+#include "buckthorndeck/config/PublishedReader.h"
+
+#include "buckthorndeck/base/Hash.h"
+#include "buckthorndeck/config/ObjectJson.h"
+#include "buckthorndeck/config/StoreClient.h"
+#include "buckthorndeck/config/internal/Kinds.h"
+
+#include <tuple>
+
+namespace buckthorndeck::config {
+
+namespace {
+
+Unexpected failed(ErrorCode Code, const std::string &Step,
+                  const std::string &Key, const std::string &Message) {
+  return Unexpected(
+      Error{.Code = Code, .Step = Step, .Peer = Key, .Message = Message});
+}
+
+//! Text of one shard, from the cache or from the store.
+Task<Expected<std::string>> readShard(StoreClient &Store, ShardReference Shard,
+                                      TimePoint Deadline,
+                                      const ShardCache *Cache) {
+  std::string Text;
+  if (Cache && Cache->contains(Shard.Key)) {
+    Text = Cache->at(Shard.Key);
+  } else {
+    const auto Value = co_await Store.get(Shard.Key, Deadline);
+    if (!Value)
+      co_return Unexpected(Value.error());
+    if (!*Value)
+      co_return failed(ErrorCode::NotFound, "read shard", Shard.Key,
+                       "the shard does not exist");
+    Text = (*Value)->Value;
+  }
+  if (buckthorndeck::digestOf(std::string_view(Text)) != Shard.Content)
+    co_return failed(ErrorCode::Invalid, "read shard", Shard.Key,
+                     "the shard does not match the digest in the manifest");
+  co_return Text;
+}
+
+//! Moves the objects of one shard into the set.
+Expected<void> addShard(const ShardReference &Shard, const std::string &Text,
+                        ObjectSet &Into) {
+  const Json Value = Json::parse(Text, nullptr, /*allow_exceptions=*/false);
+  auto Part = fromJson(Value, Shard.Key);
+  if (!Part)
+    return Unexpected(Part.error());
+  const auto Merge = [](auto &To, auto &From) {
+    To.merge(From);
+    return From.empty();
+  };
+  bool Distinct = Merge(Into.Places, Part->Places);
+  Distinct &= Merge(Into.Services, Part->Services);
+  Distinct &= Merge(Into.BackendServers, Part->BackendServers);
+  Distinct &= Merge(Into.Rules, Part->Rules);
+  Distinct &= Merge(Into.EntryHostDrains, Part->EntryHostDrains);
+  if (!Distinct)
+    return failed(ErrorCode::Invalid, "read shard", Shard.Key,
+                  "an object is also in another shard");
+  return {};
+}
+
+} // namespace
+
+Task<Expected<StoredManifest>> readManifest(StoreClient &Store,
+                                            TimePoint Deadline,
+                                            std::uint64_t MinRevision) {
+  for (unsigned Attempt = 0;; ++Attempt) {
+    const auto Value = co_await Store.get(ManifestKey, Deadline);
+    if (!Value)
+      co_return Unexpected(Value.error());
+    const std::uint64_t Revision = *Value ? (*Value)->Revision : 0;
+    if (Revision < MinRevision) {
+      if (co_await Store.pause(Attempt, Deadline))
+        continue;
+      co_return failed(ErrorCode::Unavailable, "read manifest", ManifestKey,
+                       "the store returned revision " +
+                           std::to_string(Revision) + " although revision " +
+                           std::to_string(MinRevision) + " exists");
+    }
+    StoredManifest Result{.Revision = Revision};
+    if (*Value) {
+      auto Content = parseManifest((*Value)->Value, ManifestKey);
+      if (!Content)
+        co_return Unexpected(Content.error());
+      Result.Content = std::move(*Content);
+    }
+    co_return Result;
+  }
+}
+
+Task<Expected<ObjectSet>> readObjects(StoreClient &Store,
+                                      const Manifest &Content,
+                                      TimePoint Deadline, ShardCache *Cache) {
+  ObjectSet Result;
+  ShardCache Kept;
+  for (const ShardReference &Shard : Content.Shards) {
+    auto Text = co_await readShard(Store, Shard, Deadline, Cache);
+    if (!Text)
+      co_return Unexpected(Text.error());
+    const auto Added = addShard(Shard, *Text, Result);
+    if (!Added)
+      co_return Unexpected(Added.error());
+    if (Cache)
+      Kept.emplace(Shard.Key, std::move(*Text));
+  }
+  if (Content.Version.value() != 0 && digestOf(Result) != Content.Objects)
+    co_return failed(ErrorCode::Invalid, "read objects", ManifestKey,
+                     "the objects do not match the digest in the manifest");
+  if (Cache)
+    *Cache = std::move(Kept);
+  co_return Result;
+}
+
+Task<Expected<PublishedSet>> readPublished(StoreClient &Store,
+                                           TimePoint Deadline,
+                                           std::uint64_t MinRevision,
+                                           ShardCache *Cache) {
+  for (unsigned Attempt = 0;; ++Attempt) {
+    auto Found = co_await readManifest(Store, Deadline, MinRevision);
+    if (!Found)
+      co_return Unexpected(Found.error());
+    auto Objects = co_await readObjects(Store, Found->Content, Deadline, Cache);
+    if (Objects)
+      co_return PublishedSet{.Content = std::move(Found->Content),
+                             .Revision = Found->Revision,
+                             .Objects = std::move(*Objects)};
+    if (Objects.error().Code != ErrorCode::NotFound)
+      co_return Unexpected(Objects.error());
+    // Either the shard was removed after a newer manifest was written, or the
+    // store's answer was stale; a new start serves both.
+    MinRevision = Found->Revision;
+    if (!co_await Store.pause(Attempt, Deadline))
+      co_return Unexpected(Objects.error());
+  }
+}
+
+} // namespace buckthorndeck::config
--- /dev/null
+++ b/packages/config/tests/ReaderTests.cpp
@@ -0,0 +1,182 @@
+#include "FakeStore.h"
+#include "SampleObjects.h"
+
+#include "buckthorndeck/base/Hash.h"
+#include "buckthorndeck/config/ObjectJson.h"
+#include "buckthorndeck/config/PublishedReader.h"
+
+#include <catch2/catch.hpp>
+
+using namespace buckthorndeck;
+using namespace buckthorndeck::config;
+
+namespace {
+
+//! Puts a published version with a single shard into the store.
+void store(FakeStore &Store, const ObjectSet &Objects, std::uint64_t Version) {
+  const std::string Text = toJson(Objects).dump();
+  const ConfigVersion Number(Version);
+  Manifest Content{
+      .Version = Number,
+      .Operation = "op",
+      .Objects = digestOf(Objects),
+      .Shards = {{.Key = shardKey(Number, "op", 0),
+                  .Content = buckthorndeck::digestOf(std::string_view(Text))}}};
+  Store.Entries[Content.Shards[0].Key] = {.Value = Text, .Revision = 1};
+  Store.Entries[ManifestKey] = {.Value = toJson(Content).dump(),
+                                .Revision = 10 + Version};
+}
+
+struct Fixture {
+  boost::asio::io_context Context;
+  FakeStore Store{Context};
+  StoreClient Client{Store.clientOptions()};
+
+  Expected<PublishedSet> read(ShardCache *Cache = nullptr) {
+    return runTask(Context, readPublished(Client, soon(), 0, Cache));
+  }
+};
+
+} // namespace
+
+TEST_CASE("A reader of an empty store gets version 0", "[reader]") {
+  Fixture Test;
+  const auto Read = Test.read();
+  REQUIRE(Read);
+  CHECK(Read->Content.Version.value() == 0);
+}
+
+TEST_CASE("A reader gets the published set in spite of faults", "[reader]") {
+  for (const Fault Kind :
+       {Fault::None, Fault::Drop, Fault::LoseAnswer, Fault::Overload}) {
+    Fixture Test;
+    store(Test.Store, sampleSet(), 3);
+    unsigned Left = 3;
+    Test.Store.Decide = [&](const HttpRequest &) {
+      return Left > 0 && Left-- > 0 ? Kind : Fault::None;
+    };
+    const auto Read = Test.read();
+    REQUIRE(Read);
+    CHECK(Read->Content.Version.value() == 3);
+    CHECK(Read->Objects == sampleSet());
+  }
+}
+
+TEST_CASE("A shard that differs from its digest is refused", "[reader]") {
+  // Guards against a reader that applies a corrupt or foreign shard.
+  Fixture Test;
+  store(Test.Store, sampleSet(), 3);
+  Test.Store.Entries[shardKey(ConfigVersion(3), "op", 0)].Value =
+      toJson(sampleSet(3)).dump();
+  const auto Read = Test.read();
+  REQUIRE_FALSE(Read);
+  CHECK(Read.error().Code == ErrorCode::Invalid);
+}
+
+TEST_CASE("A reader whose shard was removed starts again with the newer "
+          "manifest",
+          "[reader]") {
+  Fixture Test;
+  store(Test.Store, sampleSet(), 3);
+  Test.Store.Entries.erase(shardKey(ConfigVersion(3), "op", 0));
+  Test.Store.Decide = [&](const HttpRequest &Request) {
+    if (Request.Target.find("config/shard/3") != std::string::npos)
+      store(Test.Store, sampleSet(4), 4);
+    return Fault::None;
+  };
+  const auto Read = Test.read();
+  REQUIRE(Read);
+  CHECK(Read->Content.Version.value() == 4);
+  CHECK(Read->Objects == sampleSet(4));
+}
+
+TEST_CASE("A reader with a cache fetches a known shard once", "[reader]") {
+  Fixture Test;
+  store(Test.Store, sampleSet(), 3);
+  ShardCache Cache;
+  REQUIRE(Test.read(&Cache));
+  const std::size_t Calls = Test.Store.Calls.size();
+  REQUIRE(Test.read(&Cache));
+  CHECK(Test.Store.Calls.size() == Calls + 1);
+}
+
+TEST_CASE("A watch ends with the newer value or without one", "[store]") {
+  Fixture Test;
+  store(Test.Store, sampleSet(), 3);
+  auto Seen = runTask(Test.Context,
+                      Test.Client.watch(ManifestKey, 12, Milliseconds(10'000)));
+  REQUIRE(Seen);
+  REQUIRE(*Seen);
+  CHECK((*Seen)->Revision == 13);
+  Seen = runTask(Test.Context,
+                 Test.Client.watch(ManifestKey, 13, Milliseconds(1)));
+  REQUIRE(Seen);
+  CHECK_FALSE(*Seen);
+}
+
+TEST_CASE("A write whose answer is lost ends with timeout and is not repeated",
+          "[store]") {
+  // Guards against a repeated compare-and-swap that fails against its own
+  // first attempt and is taken for a conflict.
+  Fixture Test;
+  Test.Store.Decide = [](const HttpRequest &) { return Fault::LoseAnswer; };
+  const auto Written =
+      runTask(Test.Context, Test.Client.compareAndSwap("a", "1", 0, soon()));
+  REQUIRE_FALSE(Written);
+  CHECK(Written.error().Code == ErrorCode::Timeout);
+  CHECK(Test.Store.Calls.size() == 1);
+}
+
+TEST_CASE("A write that the store refused for its rate is repeated",
+          "[store]") {
+  Fixture Test;
+  Test.Store.Decide = [&](const HttpRequest &) {
+    return Test.Store.Calls.size() < 3 ? Fault::Overload : Fault::None;
+  };
+  const auto Written =
+      runTask(Test.Context, Test.Client.compareAndSwap("a", "1", 0, soon()));
+  REQUIRE(Written);
+  CHECK(Written->Written);
+  CHECK(Test.Store.Entries["a"].Value == "1");
+}
+
+TEST_CASE("The circuit breaker opens after consecutive failures and admits one "
+          "call at a time",
+          "[policy]") {
+  CircuitBreaker Breaker({.Failures = 3, .Open = Milliseconds(1000)});
+  const TimePoint Start{std::chrono::seconds(100)};
+  for (unsigned Count = 0; Count < 3; ++Count) {
+    CHECK(admitCall(Breaker, Start));
+    recordFailure(Breaker, Start);
+  }
+  CHECK_FALSE(admitCall(Breaker, Start + Milliseconds(999)));
+  CHECK(admitCall(Breaker, Start + Milliseconds(1000)));
+  CHECK_FALSE(admitCall(Breaker, Start + Milliseconds(1000)));
+  recordSuccess(Breaker);
+  CHECK(admitCall(Breaker, Start + Milliseconds(1000)));
+}
+
+TEST_CASE("The retry budget ends and refills with time and calls", "[policy]") {
+  RetryBudget Budget({.PerCall = 0.5, .PerSecond = 1, .Max = 2});
+  const TimePoint Start{std::chrono::seconds(100)};
+  CHECK(takeRetry(Budget, Start));
+  CHECK(takeRetry(Budget, Start));
+  CHECK_FALSE(takeRetry(Budget, Start));
+  CHECK(takeRetry(Budget, Start + std::chrono::seconds(1)));
+  recordCall(Budget);
+  recordCall(Budget);
+  CHECK(takeRetry(Budget, Start + std::chrono::seconds(1)));
+}
+
+TEST_CASE("Backoff delays grow to their maximum and are jittered", "[policy]") {
+  RandomEngine Engine(1);
+  const BackoffOptions Options{.First = Milliseconds(100),
+                               .Max = Milliseconds(1000)};
+  for (unsigned Attempt = 0; Attempt < 40; ++Attempt) {
+    const Milliseconds Full =
+        Attempt < 4 ? Milliseconds(100 << Attempt) : Milliseconds(1000);
+    const Milliseconds Delay = backoffDelay(Options, Attempt, Engine);
+    CHECK(Delay >= Full / 2);
+    CHECK(Delay <= Full);
+  }
+}
