Add SWIM membership between entry hosts

Entry hosts need to know which peers to relay to and which of them watch the platform, without a consensus group and within 4 KB/s of control traffic.

News rides on heartbeats, at most 8 per message of at most 700 bytes. A host that joins reads the member table in pages, at most two a second. Members of other regions are probed every fifth period and become suspect only if a host of their own region reports that it missed them too.

Ruled out: probing all regions alike, since a region that is cut off would be declared dead as a whole; and sending the whole table to a host that joins, since 1,200 members take about 60 KB at once.

The clock is an argument (TimeSource), so that tests run the same coroutines without waiting.

--- /dev/null
+++ b/packages/membership/src/buckthorndeck/membership/MemberTable.cpp
@@ -0,0 +1,275 @@
+#include "buckthorndeck/membership/MemberTable.h"
+
+#include <algorithm>
+#include <bit>
+#include <cmath>
+
+namespace buckthorndeck::membership {
+
+namespace {
+
+//! News that a peer turns out to lack is not queued more often than this, so
+//! that one outdated peer cannot keep it circulating.
+constexpr Milliseconds RequeueInterval{10'000};
+
+//! Which of two states with equal start and refutation wins. A suspicion
+//! overrides leaving, because a leaving host can fail as well.
+int severity(MemberState State) {
+  switch (State) {
+  case MemberState::Alive:
+    return 0;
+  case MemberState::Leaving:
+    return 1;
+  case MemberState::Suspect:
+    return 2;
+  case MemberState::Dead:
+    return 3;
+  case MemberState::Left:
+    return 4;
+  }
+  return 0;
+}
+
+void queue(MemberTable &Table, const EntryHostName &Name) {
+  Table.Pending[Name] = 0;
+}
+
+void queue(MemberTable &Table, MemberEntry &Entry, TimePoint Now) {
+  queue(Table, Entry.Info.Name);
+  Entry.LastQueued = Now;
+}
+
+bool isGone(const Member &Candidate) {
+  return Candidate.State == MemberState::Dead ||
+         Candidate.State == MemberState::Left;
+}
+
+//! True if Claim wins over Known. Both are of the same start.
+bool overrides(const Member &Claim, const Member &Known) {
+  if (Known.State == MemberState::Left)
+    return false;
+  if (Claim.State == MemberState::Left)
+    return true;
+  if (Claim.Refutation != Known.Refutation)
+    return Claim.Refutation > Known.Refutation;
+  return severity(Claim.State) > severity(Known.State);
+}
+
+MergeResult mergeSelf(MemberTable &Table, const Member &Claim) {
+  Member &Self = Table.Self;
+  if (Claim.Start > Self.Start)
+    return MergeResult::Replaced;
+  if (Claim.Start < Self.Start)
+    return MergeResult::Outdated;
+  if (Self.State == MemberState::Left || !overrides(Claim, Self))
+    return MergeResult::Unchanged;
+  Self.Refutation = Claim.Refutation + 1;
+  queue(Table, Self.Name);
+  return MergeResult::Refuted;
+}
+
+std::optional<Member> nextOf(std::vector<EntryHostName> &Round,
+                             const MemberTable &Table, RandomEngine &Random,
+                             bool SameRegion) {
+  const auto Wanted = [&](const Member &Candidate) {
+    return isReachable(Candidate) &&
+           (Candidate.Region == Table.Self.Region) == SameRegion;
+  };
+  // The second pass runs on a fresh round; it finds nobody only if there is
+  // nobody.
+  for (int Pass = 0; Pass < 2; ++Pass) {
+    while (!Round.empty()) {
+      const EntryHostName Name = std::move(Round.back());
+      Round.pop_back();
+      auto Found = Table.Others.find(Name);
+      if (Found != Table.Others.end() && Wanted(Found->second.Info))
+        return Found->second.Info;
+    }
+    for (const auto &[Name, Entry] : Table.Others)
+      if (Wanted(Entry.Info))
+        Round.push_back(Name);
+    std::shuffle(Round.begin(), Round.end(), Random);
+  }
+  return std::nullopt;
+}
+
+} // namespace
+
+bool isReachable(const Member &Candidate) { return !isGone(Candidate); }
+
+MergeResult merge(MemberTable &Table, const Member &Claim, TimePoint Now,
+                  Spread Forward) {
+  if (Claim.Name == Table.Self.Name)
+    return mergeSelf(Table, Claim);
+  auto Found = Table.Others.find(Claim.Name);
+  if (Found == Table.Others.end()) {
+    if (isGone(Claim))
+      return MergeResult::Unchanged;
+    MemberEntry &Entry = Table.Others[Claim.Name];
+    Entry = MemberEntry{.Info = Claim, .StateSince = Now, .LastQueued = Now};
+    Entry.Info.Version = ConfigVersion();
+    if (Forward == Spread::Yes)
+      queue(Table, Entry, Now);
+    return MergeResult::Changed;
+  }
+  MemberEntry &Entry = Found->second;
+  const bool SameStart = Claim.Start == Entry.Info.Start;
+  if (Claim.Start < Entry.Info.Start ||
+      (SameStart && overrides(Entry.Info, Claim))) {
+    if (Now - Entry.LastQueued >= RequeueInterval)
+      queue(Table, Entry, Now);
+    return MergeResult::Outdated;
+  }
+  if (SameStart && !overrides(Claim, Entry.Info))
+    return MergeResult::Unchanged;
+  const ConfigVersion Version =
+      SameStart ? Entry.Info.Version : ConfigVersion();
+  if (!SameStart || Claim.State != Entry.Info.State)
+    Entry.StateSince = Now;
+  Entry.Info = Claim;
+  Entry.Info.Version = Version;
+  if (Forward == Spread::Yes)
+    queue(Table, Entry, Now);
+  return MergeResult::Changed;
+}
+
+bool noteVersion(MemberTable &Table, const Member &From) {
+  auto Found = Table.Others.find(From.Name);
+  if (Found == Table.Others.end() || Found->second.Info.Start != From.Start ||
+      Found->second.Info.Version >= From.Version)
+    return false;
+  Found->second.Info.Version = From.Version;
+  return true;
+}
+
+bool suspect(MemberTable &Table, const EntryHostName &Name, Incarnation Start,
+             TimePoint Now) {
+  auto Found = Table.Others.find(Name);
+  if (Found == Table.Others.end() || Found->second.Info.Start != Start)
+    return false;
+  Member Claim = Found->second.Info;
+  if (Claim.State != MemberState::Alive && Claim.State != MemberState::Leaving)
+    return false;
+  Claim.State = MemberState::Suspect;
+  return merge(Table, Claim, Now) == MergeResult::Changed;
+}
+
+std::vector<Member> expireSuspicions(MemberTable &Table, TimePoint Now,
+                                     Milliseconds Timeout) {
+  std::vector<Member> Expired;
+  for (auto &[Name, Entry] : Table.Others) {
+    if (Entry.Info.State != MemberState::Suspect ||
+        Now - Entry.StateSince < Timeout)
+      continue;
+    Entry.Info.State = MemberState::Dead;
+    Entry.StateSince = Now;
+    queue(Table, Entry, Now);
+    Expired.push_back(Entry.Info);
+  }
+  return Expired;
+}
+
+void restartSuspicions(MemberTable &Table, TimePoint Now) {
+  for (auto &[Name, Entry] : Table.Others)
+    if (Entry.Info.State == MemberState::Suspect)
+      Entry.StateSince = Now;
+}
+
+void forgetGone(MemberTable &Table, TimePoint Now, Milliseconds Retention) {
+  std::erase_if(Table.Others, [&](const auto &Item) {
+    const MemberEntry &Entry = Item.second;
+    if (!isGone(Entry.Info) || Now - Entry.StateSince < Retention)
+      return false;
+    Table.Pending.erase(Item.first);
+    return true;
+  });
+}
+
+void setOwnState(MemberTable &Table, MemberState State) {
+  Table.Self.State = State;
+  ++Table.Self.Refutation;
+  queue(Table, Table.Self.Name);
+}
+
+std::optional<Member> nextProbeTarget(MemberTable &Table,
+                                      RandomEngine &Random) {
+  return nextOf(Table.Round, Table, Random, /*SameRegion=*/true);
+}
+
+std::optional<Member> nextRemoteTarget(MemberTable &Table,
+                                       RandomEngine &Random) {
+  return nextOf(Table.RemoteRound, Table, Random, /*SameRegion=*/false);
+}
+
+std::vector<Member> chooseHelpers(const MemberTable &Table,
+                                  const Member &Target, std::size_t Count,
+                                  RandomEngine &Random) {
+  std::vector<const Member *> Candidates;
+  for (const auto &[Name, Entry] : Table.Others)
+    if (Name != Target.Name && Entry.Info.Region == Target.Region &&
+        isReachable(Entry.Info))
+      Candidates.push_back(&Entry.Info);
+  std::vector<const Member *> Chosen;
+  std::sample(Candidates.begin(), Candidates.end(), std::back_inserter(Chosen),
+              Count, Random);
+  std::vector<Member> Result;
+  for (const Member *Helper : Chosen)
+    Result.push_back(*Helper);
+  return Result;
+}
+
+unsigned transmissionLimit(std::size_t Members) {
+  return 3 * std::bit_width(std::max<std::size_t>(Members, 1));
+}
+
+std::vector<Member> chooseUpdates(const MemberTable &Table, std::size_t Count) {
+  std::vector<std::pair<unsigned, const EntryHostName *>> Order;
+  for (const auto &[Name, Sent] : Table.Pending)
+    Order.emplace_back(Sent, &Name);
+  const std::size_t Chosen = std::min(Count, Order.size());
+  std::partial_sort(Order.begin(), Order.begin() + Chosen, Order.end(),
+                    [](const auto &Left, const auto &Right) {
+                      return Left.first < Right.first;
+                    });
+  std::vector<Member> Result;
+  for (std::size_t I = 0; I < Chosen; ++I) {
+    const EntryHostName &Name = *Order[I].second;
+    auto Found = Table.Others.find(Name);
+    if (Found != Table.Others.end())
+      Result.push_back(Found->second.Info);
+    else if (Name == Table.Self.Name)
+      Result.push_back(Table.Self);
+  }
+  return Result;
+}
+
+void countSent(MemberTable &Table, const std::vector<Member> &Updates) {
+  const unsigned Limit = transmissionLimit(Table.Others.size() + 1);
+  for (const Member &Update : Updates) {
+    auto Found = Table.Pending.find(Update.Name);
+    if (Found != Table.Pending.end() && ++Found->second >= Limit)
+      Table.Pending.erase(Found);
+  }
+}
+
+std::vector<Member> membersAfter(const MemberTable &Table,
+                                 const EntryHostName &Reader,
+                                 const EntryHostName &After,
+                                 std::size_t Count) {
+  std::vector<Member> Result;
+  const auto Append = [&](auto From, auto To) {
+    for (; From != To && Result.size() < Count; ++From)
+      if (isReachable(From->second.Info) && From->first != Reader)
+        Result.push_back(From->second.Info);
+  };
+  const auto &All = Table.Others;
+  if (After >= Reader) {
+    Append(All.upper_bound(After), All.end());
+    Append(All.begin(), All.lower_bound(Reader));
+  } else {
+    Append(All.upper_bound(After), All.lower_bound(Reader));
+  }
+  return Result;
+}
+
+} // namespace buckthorndeck::membership
--- /dev/null
+++ b/packages/membership/tests/VirtualTime.h
@@ -0,0 +1,79 @@
+#ifndef BUCKTHORNDECK_MEMBERSHIP_TESTS_VIRTUALTIME_H
+#define BUCKTHORNDECK_MEMBERSHIP_TESTS_VIRTUALTIME_H
+
+#include "buckthorndeck/membership/TimeSource.h"
+#include "buckthorndeck/net/Notifier.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <map>
+
+namespace buckthorndeck {
+
+//! A clock that stands still until the test advances it, and the io_context
+//! whose coroutines wait on it.
+class VirtualTime {
+public:
+  boost::asio::io_context Context;
+
+  TimePoint now() const { return Current; }
+
+  TimeSource source() {
+    return TimeSource{
+        .Now = [this] { return Current; },
+        .SleepUntil =
+            [this](TimePoint Deadline) { return sleepUntil(this, Deadline); }};
+  }
+
+  //! Runs everything that is due, in order, and stops the clock Step later.
+  void advance(Milliseconds Step) {
+    const TimePoint End = Current + Step;
+    settle();
+    while (!Sleepers.empty() && Sleepers.begin()->first <= End) {
+      auto First = Sleepers.begin();
+      Current = std::max(Current, First->first);
+      std::shared_ptr<Notifier> Sleeper = First->second;
+      Sleepers.erase(First);
+      Sleeper->notifyAll();
+      settle();
+    }
+    Current = End;
+  }
+
+  //! Moves the clock without running anything, like a stopped process.
+  void freeze(Milliseconds Step) { Current += Step; }
+
+  //! Runs Work after Delay.
+  template <typename Callable> void after(Milliseconds Delay, Callable Work) {
+    spawn(Context.get_executor(), "delayed",
+          runAt(this, Current + Delay, std::move(Work)));
+  }
+
+  void settle() {
+    Context.restart();
+    while (Context.poll() > 0) {
+    }
+  }
+
+private:
+  static Task<> sleepUntil(VirtualTime *Self, TimePoint Deadline) {
+    if (Deadline <= Self->Current)
+      co_return;
+    auto Sleeper = std::make_shared<Notifier>(Self->Context.get_executor());
+    Self->Sleepers.emplace(Deadline, Sleeper);
+    co_await Sleeper->wait();
+  }
+
+  template <typename Callable>
+  static Task<> runAt(VirtualTime *Self, TimePoint When, Callable Work) {
+    co_await sleepUntil(Self, When);
+    Work();
+  }
+
+  TimePoint Current{std::chrono::hours(1)};
+  std::multimap<TimePoint, std::shared_ptr<Notifier>> Sleepers;
+};
+
+} // namespace buckthorndeck
+
+#endif // BUCKTHORNDECK_MEMBERSHIP_TESTS_VIRTUALTIME_H
