Add the entry host: flow router, request and feed services, settings, metrics

Cause: no process served callers yet.

Change: the binary buckthorndeck with checked JSON settings, a metrics endpoint, graceful stop on SIGTERM, and the flow router. A new message, accepted, answers a repeated attempt of a request in progress, so that a slow request is neither sent again nor taken for a dead home. The ledger gains find(), which reports an entry without making one.

Ruled out: letting any host answer not_run for a request whose token names another home, since only the home knows whether it forwarded the request.

--- /dev/null
+++ b/packages/entryhost/src/buckthorndeck/entryhost/EntryHost.cpp
@@ -0,0 +1,335 @@
+#include "buckthorndeck/entryhost/EntryHost.h"
+
+#include "buckthorndeck/base/Log.h"
+#include "buckthorndeck/config/Manifest.h"
+#include "buckthorndeck/config/Objects.h"
+#include "buckthorndeck/config/PublishedReader.h"
+#include "buckthorndeck/config/StoreClient.h"
+#include "buckthorndeck/entryhost/FeedService.h"
+#include "buckthorndeck/entryhost/FlowRouter.h"
+#include "buckthorndeck/entryhost/HostContext.h"
+#include "buckthorndeck/entryhost/Metrics.h"
+#include "buckthorndeck/entryhost/PeerLink.h"
+#include "buckthorndeck/entryhost/RequestService.h"
+#include "buckthorndeck/entryhost/StatusReport.h"
+#include "buckthorndeck/membership/Membership.h"
+#include "buckthorndeck/net/Notifier.h"
+#include "buckthorndeck/net/UdpSocket.h"
+#include "buckthorndeck/net/WebSocket.h"
+#include "buckthorndeck/wire/Relay.h"
+
+#include <boost/asio/this_coro.hpp>
+#include <cstdio>
+#include <fstream>
+
+namespace buckthorndeck::entryhost {
+
+namespace {
+
+constexpr Milliseconds HousekeepingPeriod{1'000};
+//! Lets the last announcements and answers leave the socket.
+constexpr Milliseconds FlushDelay{200};
+
+Incarnation incarnationNow() {
+  const auto SinceEpoch = std::chrono::system_clock::now().time_since_epoch();
+  return Incarnation(static_cast<std::uint64_t>(
+      std::chrono::duration_cast<Milliseconds>(SinceEpoch).count()));
+}
+
+//! Sockets of a host, bound before anything else starts.
+struct Sockets {
+  UdpSocket Caller;
+  UdpSocket Peer;
+  WebSocketListener Sync;
+  std::unique_ptr<Metrics> Meter;
+};
+
+Expected<Sockets> bindSockets(const Executor &Where, const Settings &Options) {
+  auto Caller = UdpSocket::bind(Where, Options.CallerListen);
+  if (!Caller)
+    return Unexpected(Caller.error());
+  auto Peer = UdpSocket::bind(Where, Options.PeerListen);
+  if (!Peer)
+    return Unexpected(Peer.error());
+  auto Sync = WebSocketListener::bind(Where, Options.SyncListen);
+  if (!Sync)
+    return Unexpected(Sync.error());
+  auto Meter = Metrics::start(Options.MetricsListen);
+  if (!Meter)
+    return Unexpected(Meter.error());
+  return Sockets{.Caller = std::move(*Caller),
+                 .Peer = std::move(*Peer),
+                 .Sync = std::move(*Sync),
+                 .Meter = std::move(*Meter)};
+}
+
+membership::Member describeSelf(const Settings &Options, const Sockets &Bound,
+                                Incarnation Start) {
+  return {.Name = Options.Name,
+          .Region = Options.Region,
+          .FailureDomain = Options.FailureDomain,
+          .PeerAddress = Bound.Peer.localEndpoint(),
+          .SyncAddress = Bound.Sync.localEndpoint(),
+          .Start = Start};
+}
+
+} // namespace
+
+struct EntryHost::Parts {
+  Parts(const Executor &Where, Settings Given, Sockets Opened,
+        Incarnation Start)
+      : Where(Where), Options(std::move(Given)), Bound(std::move(Opened)),
+        Self(describeSelf(Options, Bound, Start)),
+        PeerKey(deriveKey(Options.FleetKey, "peer")),
+        Peers(Bound.Peer, PeerKey),
+        Servers(Where,
+                {.RandomSeed = Options.RandomSeed, .Host = Options.Name}),
+        Context{.Where = Where,
+                .Self = {.Name = Options.Name, .Start = Start},
+                .Limits = {.Lifetime = Options.TokenLifetime},
+                .TokenKey = deriveKey(Options.FleetKey, "token"),
+                .StartedAt = Clock::now(),
+                .CallerSocket = Bound.Caller,
+                .Meter = *Bound.Meter,
+                .Servers = Servers},
+        Requests(Context, {.LedgerEntries = Options.LedgerEntries}),
+        Feeds(Context, {.MaxFeeds = Options.MaxFeeds}),
+        Members(Where, membershipOptions(),
+                [this](const Bytes &Envelope, const UdpEndpoint &Peer) {
+                  Peers.sendControl(Envelope, Peer);
+                }),
+        Router(Context, Requests, Feeds, Members, Peers), Stopped(Where) {}
+
+  membership::MembershipOptions membershipOptions() const {
+    return {
+        .Self = Self, .Seeds = Options.Seeds, .RandomSeed = Options.RandomSeed};
+  }
+
+  void apply(const config::ObjectSet &Objects, ConfigVersion Version);
+  Task<> receiveFromCallers();
+  Task<> receiveFromPeers();
+  void handlePeerDatagram(ByteView Envelope, const UdpEndpoint &Sender);
+  void handleRelay(const wire::Envelope &Message, const UdpEndpoint &Sender);
+  Task<> serveSync(WebSocket::Pointer Link);
+  Task<> watchStore();
+  Task<> keepHouse();
+  StatusReport status() const;
+  void updateMetrics();
+  void writePortsFile() const;
+
+  Executor Where;
+  Settings Options;
+  Sockets Bound;
+  membership::Member Self;
+  MacKey PeerKey;
+  PeerLink Peers;
+  routing::Dispatcher Servers;
+  HostContext Context;
+  RequestService Requests;
+  FeedService Feeds;
+  membership::Membership Members;
+  FlowRouter Router;
+  Notifier Stopped;
+  std::uint64_t ControlBytesReceived = 0;
+  bool Done = false;
+};
+
+Expected<std::unique_ptr<EntryHost>> EntryHost::start(const Executor &Where,
+                                                      Settings Options) {
+  auto Bound = bindSockets(Where, Options);
+  if (!Bound)
+    return Unexpected(Bound.error());
+  auto Owned = std::make_unique<Parts>(Where, std::move(Options),
+                                       std::move(*Bound), incarnationNow());
+  return std::unique_ptr<EntryHost>(new EntryHost(std::move(Owned)));
+}
+
+EntryHost::EntryHost(std::unique_ptr<Parts> Owned) : Owned(std::move(Owned)) {}
+EntryHost::~EntryHost() = default;
+
+Task<> EntryHost::run() {
+  Parts &Host = *Owned;
+  spawn(Host.Where, "membership", Host.Members.run());
+  spawn(Host.Where, "peer_datagrams", Host.receiveFromPeers());
+  spawn(Host.Where, "caller_datagrams", Host.receiveFromCallers());
+  spawn(Host.Where, "config_watch", Host.watchStore());
+  spawn(Host.Where, "housekeeping", Host.keepHouse());
+  spawn(Host.Where, "sync_listener",
+        Host.Bound.Sync.serve(
+            [&Host](WebSocket::Pointer Link) { return Host.serveSync(Link); }));
+  Host.writePortsFile();
+  log(LogLevel::Info, "ready",
+      {{"host", Host.Options.Name.value()},
+       {"callers", toString(Host.Bound.Caller.localEndpoint())},
+       {"peers", toString(Host.Bound.Peer.localEndpoint())},
+       {"sync", toString(Host.Bound.Sync.localEndpoint())},
+       {"metrics", toString(Host.Bound.Meter->endpoint())}});
+  while (!Host.Done)
+    co_await Host.Stopped.wait();
+}
+
+Task<> EntryHost::stop() {
+  Parts &Host = *Owned;
+  if (Host.Context.Leaving)
+    co_return;
+  Host.Context.Leaving = true;
+  Host.Members.leave();
+  log(LogLevel::Info, "leaving", {{"in_progress", Host.Requests.inProgress()}});
+  // No token is minted any more, so after this time none can bring work.
+  const HostContext &Context = Host.Context;
+  co_await sleepFor(Context.Limits.Lifetime + Context.Limits.Grace);
+  co_await Host.Requests.drained();
+  co_await Host.Servers.drained();
+  Host.Members.left();
+  co_await sleepFor(FlushDelay);
+  log(LogLevel::Info, "left");
+  Host.Done = true;
+  Host.Stopped.notifyAll();
+}
+
+void EntryHost::Parts::apply(const config::ObjectSet &Objects,
+                             ConfigVersion Version) {
+  if (Version <= Context.Version)
+    return;
+  log(LogLevel::Info, "configuration_applied",
+      {{"version", Version.value()}, {"before", Context.Version.value()}});
+  Context.Version = Version;
+  Context.Services = makeServiceTable(Objects);
+  Servers.apply(Objects);
+  Members.setVersion(Version);
+}
+
+Task<> EntryHost::Parts::receiveFromCallers() {
+  while (true) {
+    const auto Received = co_await Bound.Caller.receive();
+    if (!Received)
+      co_return;
+    Router.handle(Received->Payload, Received->Sender, Arrival::Direct);
+  }
+}
+
+Task<> EntryHost::Parts::receiveFromPeers() {
+  while (true) {
+    const auto Received = co_await Bound.Peer.receive();
+    if (!Received)
+      co_return;
+    const auto Opened =
+        unseal(PeerKey, Received->Payload, toString(Received->Sender));
+    if (Opened)
+      handlePeerDatagram(*Opened, Received->Sender);
+    else
+      Bound.Meter->countRefused("bad_mac");
+  }
+}
+
+void EntryHost::Parts::handlePeerDatagram(ByteView Payload,
+                                          const UdpEndpoint &Sender) {
+  const auto Message =
+      wire::decodeEnvelope(Payload, "decode peer datagram", toString(Sender));
+  if (!Message) {
+    Bound.Meter->countRefused("malformed_peer_message");
+    return;
+  }
+  if (Message->Type == wire::RelayType) {
+    handleRelay(*Message, Sender);
+    return;
+  }
+  ControlBytesReceived += Payload.size() + MacBytes;
+  Members.handle(*Message, Sender);
+}
+
+void EntryHost::Parts::handleRelay(const wire::Envelope &Message,
+                                   const UdpEndpoint &Sender) {
+  const auto Relayed = wire::decodeRelay(Message, toString(Sender));
+  const auto Caller = Relayed
+                          ? parseUdpEndpoint(Relayed->Caller, "decode relay")
+                          : Unexpected(Relayed.error());
+  if (!Caller) {
+    Bound.Meter->countRefused("malformed_relay");
+    return;
+  }
+  Bound.Meter->countRelay("received");
+  Router.handle(Relayed->Datagram, *Caller,
+                Relayed->Takeover ? Arrival::Takeover : Arrival::Relayed);
+}
+
+Task<> EntryHost::Parts::serveSync(WebSocket::Pointer Link) {
+  while (true) {
+    const auto Message = co_await Link->receive();
+    if (!Message)
+      co_return;
+    if (Message->value("type", std::string()) == "status_request")
+      Link->send(toJson(status()));
+  }
+}
+
+Task<> EntryHost::Parts::watchStore() {
+  if (!Options.Platform)
+    co_return;
+  config::StoreClient Store(config::StoreClientOptions{
+      .Address = *Options.Platform, .RandomSeed = Options.RandomSeed});
+  std::uint64_t Revision = 0;
+  while (true) {
+    const TimePoint Deadline = Clock::now() + Milliseconds(5'000);
+    const auto Published =
+        co_await config::readPublished(Store, Deadline, Revision);
+    if (Published && Published->Content.Version > Context.Version)
+      apply(Published->Objects, Published->Content.Version);
+    if (Published)
+      Revision = Published->Revision;
+    const auto Changed = co_await Store.watch(config::ManifestKey, Revision,
+                                              Milliseconds(20'000));
+    if (!Changed)
+      co_await sleepFor(Milliseconds(500));
+  }
+}
+
+StatusReport EntryHost::Parts::status() const {
+  return {.Self = Members.self(),
+          .Draining = Context.Leaving,
+          .Members = Members.members(),
+          .Servers = Servers.status()};
+}
+
+void EntryHost::Parts::updateMetrics() {
+  Metrics &Meter = *Bound.Meter;
+  Meter.setGauge("feeds", static_cast<double>(Feeds.size()));
+  Meter.setGauge("requests_in_progress",
+                 static_cast<double>(Requests.inProgress()));
+  Meter.setGauge("ledger_entries",
+                 static_cast<double>(Requests.ledgerEntries()));
+  Meter.setGauge("config_version",
+                 static_cast<double>(Context.Version.value()));
+  std::map<std::string, double> Counts;
+  for (const membership::Member &Entry : Members.members())
+    ++Counts[toString(Entry.State)];
+  for (const char *State : {"alive", "suspect", "leaving", "dead", "left"})
+    Meter.setMembers(State, Counts[State]);
+  Meter.setControlBytes("sent", static_cast<double>(Peers.controlBytesSent()));
+  Meter.setControlBytes("received", static_cast<double>(ControlBytesReceived));
+}
+
+Task<> EntryHost::Parts::keepHouse() {
+  while (!Done) {
+    Requests.expire();
+    Feeds.expire();
+    updateMetrics();
+    co_await sleepFor(HousekeepingPeriod);
+  }
+}
+
+void EntryHost::Parts::writePortsFile() const {
+  if (Options.PortsFile.empty())
+    return;
+  const Json Ports = {{"callers", toString(Bound.Caller.localEndpoint())},
+                      {"peers", toString(Bound.Peer.localEndpoint())},
+                      {"sync", toString(Bound.Sync.localEndpoint())},
+                      {"metrics", toString(Bound.Meter->endpoint())}};
+  // A reader must never see half of the file.
+  const std::string Temporary = Options.PortsFile + ".tmp";
+  std::ofstream(Temporary) << Ports.dump() << "\n";
+  if (std::rename(Temporary.c_str(), Options.PortsFile.c_str()) != 0)
+    log(LogLevel::Error, "ports_file_failed", {{"file", Options.PortsFile}});
+}
+
+} // namespace buckthorndeck::entryhost
--- a/packages/routing/src/buckthorndeck/routing/Ledger.cpp
+++ b/packages/routing/src/buckthorndeck/routing/Ledger.cpp
@@ -28,11 +28,20 @@
   return MintedAt + Options.TokenLifetime + Options.TokenGrace;
 }
 
+std::optional<Admission> Ledger::find(const LedgerKey &Key, TimePoint MintedAt,
+                                      TimePoint Now) {
+  latest(Now);
+  const auto Found = Entries.find(Key);
+  if (Found == Entries.end())
+    return std::nullopt;
+  return meet(Found->second, MintedAt);
+}
+
 Admission Ledger::admit(const LedgerKey &Key, TimePoint MintedAt,
                         TimePoint Now) {
+  if (const auto Known = find(Key, MintedAt, Now))
+    return *Known;
   Now = latest(Now);
-  if (auto Found = Entries.find(Key); Found != Entries.end())
-    return meet(Found->second, MintedAt);
   if (Now > tokenEnd(MintedAt) || MintedAt > Now)
     return Admission{.State = Admission::Kind::Expired};
   if (Entries.size() >= Options.MaxEntries)
--- a/packages/routing/src/buckthorndeck/routing/Ledger.h
+++ b/packages/routing/src/buckthorndeck/routing/Ledger.h
@@ -64,6 +64,10 @@
   //! Finds or makes the entry of a request under a token minted at MintedAt.
   Admission admit(const LedgerKey &Key, TimePoint MintedAt, TimePoint Now);
 
+  //! The entry of a request, as admit() would report it, without making one.
+  std::optional<Admission> find(const LedgerKey &Key, TimePoint MintedAt,
+                                TimePoint Now);
+
   //! Like admit(), but records Refusal (NotRun or Reopen) as the answer of a
   //! request that would have been New.
   Admission refuse(const LedgerKey &Key, TimePoint MintedAt, JobResult Refusal,
--- a/packages/wire/src/buckthorndeck/wire/Datagram.cpp
+++ b/packages/wire/src/buckthorndeck/wire/Datagram.cpp
@@ -20,6 +20,7 @@
   Answer = 7,
   Event = 8,
   Subscribed = 9,
+  Accepted = 10,
 };
 
 constexpr std::uint64_t MaxLifetimeMs = 3'600'000;
@@ -151,6 +152,11 @@
     writeToken(Fields, M.Token, M.Lifetime);
     return envelope(Type::Subscribed, std::move(Fields));
   }
+
+  Bytes operator()(const Accepted &M) const {
+    return envelope(Type::Accepted,
+                    {{"flow", M.Flow.value()}, {"seq", M.Number.value()}});
+  }
 };
 
 Request readRequest(FieldReader &Reader) {
@@ -219,6 +225,8 @@
                       .Position = Sequence(Reader.number("pos")),
                       .Token = readToken(Reader),
                       .Lifetime = readLifetime(Reader)};
+  case Type::Accepted:
+    return Accepted{.Flow = readFlow(Reader), .Number = readSequence(Reader)};
   }
   Reader.fail("type", "a known message type");
   return Open{};
--- a/packages/wire/src/buckthorndeck/wire/Datagram.h
+++ b/packages/wire/src/buckthorndeck/wire/Datagram.h
@@ -120,9 +120,17 @@
   std::chrono::milliseconds Lifetime{0};
 };
 
+//! Entry host has the whole request and works on it. Answers a repeated
+//! attempt, so that the caller neither sends the body again nor takes the home
+//! for dead.
+struct Accepted {
+  FlowId Flow;
+  Sequence Number;
+};
+
 //! Everything that passes between callers and entry hosts.
 using Datagram = std::variant<Open, Request, Subscribe, Unsubscribe, Cancel,
-                              Welcome, Answer, Event, Subscribed>;
+                              Welcome, Answer, Event, Subscribed, Accepted>;
 
 //! Encodes as the CBOR array [version, type, fields].
 Bytes encode(const Datagram &Message);
