Publish sets with their audit entry in one compare-and-swap

Cause: two operators may change the same objects, and the store's answer may be lost after a write took effect.

Change: a publisher writes the shards that its direct base does not have, then replaces the manifest, audit entry included, by one compare-and-swap. A lost answer is settled by looking for the operation id. A conflict names the winner, its time and the objects that both changed.

Ruled out: taking the version current at the time of the call as the base. An operator with old files would then set back what others published.

--- a/packages/base/src/buckthorndeck/base/StrongType.h
+++ b/packages/base/src/buckthorndeck/base/StrongType.h
@@ -21,7 +21,12 @@
 
   const Rep &value() const { return Value; }
 
-  friend auto operator<=>(const StrongType &, const StrongType &) = default;
+  friend bool operator==(const StrongType &, const StrongType &) = default;
+  // Written out because clang-tidy 16 reports the name of a variable inside
+  // the defaulted operator.
+  friend auto operator<=>(const StrongType &First, const StrongType &Second) {
+    return First.Value <=> Second.Value;
+  }
 
 private:
   Rep Value{};
--- /dev/null
+++ b/packages/config/src/buckthorndeck/config/Changes.h
@@ -0,0 +1,33 @@
+#ifndef BUCKTHORNDECK_CONFIG_CHANGES_H
+#define BUCKTHORNDECK_CONFIG_CHANGES_H
+
+#include "buckthorndeck/config/ObjectId.h"
+
+#include <vector>
+
+namespace buckthorndeck::config {
+
+struct ObjectSet;
+
+enum class ChangeAction { Added, Changed, Removed };
+
+const char *toString(ChangeAction Action);
+
+struct ObjectChange {
+  ObjectId Object;
+  ChangeAction Action = ChangeAction::Changed;
+
+  friend bool operator==(const ObjectChange &, const ObjectChange &) = default;
+};
+
+//! What turns Before into After, ordered by kind and name.
+std::vector<ObjectChange> changesBetween(const ObjectSet &Before,
+                                         const ObjectSet &After);
+
+//! Objects that both lists change, in the order of First.
+std::vector<ObjectId> changedInBoth(const std::vector<ObjectChange> &First,
+                                    const std::vector<ObjectChange> &Second);
+
+} // namespace buckthorndeck::config
+
+#endif // BUCKTHORNDECK_CONFIG_CHANGES_H
--- a/packages/config/src/buckthorndeck/config/Manifest.cpp
+++ b/packages/config/src/buckthorndeck/config/Manifest.cpp
@@ -16,12 +16,6 @@
 //! Form of the manifest; a reader refuses one that it does not know.
 constexpr std::uint64_t Format = 1;
 
-Json toJson(const ObjectChange &Change) {
-  return {{"kind", Change.Object.Kind},
-          {"name", Change.Object.Name.value()},
-          {"action", toString(Change.Action)}};
-}
-
 ChangeAction readAction(FieldReader &Fields) {
   const std::string Text = Fields.text("action", 16);
   for (const ChangeAction Action :
@@ -76,16 +70,10 @@
 
 } // namespace
 
-const char *toString(ChangeAction Action) {
-  switch (Action) {
-  case ChangeAction::Added:
-    return "added";
-  case ChangeAction::Changed:
-    return "changed";
-  case ChangeAction::Removed:
-    return "removed";
-  }
-  return "changed";
+Json toJson(const ObjectChange &Change) {
+  return {{"kind", Change.Object.Kind},
+          {"name", Change.Object.Name.value()},
+          {"action", toString(Change.Action)}};
 }
 
 Json toJson(const AuditEntry &Entry) {
@@ -143,6 +131,14 @@
   return Result;
 }
 
+const AuditEntry *findOperation(const Manifest &Content,
+                                const std::string &Operation) {
+  for (const AuditEntry &Entry : Content.Audit)
+    if (Entry.Operation == Operation)
+      return &Entry;
+  return nullptr;
+}
+
 std::string shardKey(ConfigVersion Target, const std::string &Operation,
                      std::size_t Number) {
   return ShardPrefix + std::to_string(Target.value()) + "/" + Operation + "/" +
--- a/packages/config/src/buckthorndeck/config/Manifest.h
+++ b/packages/config/src/buckthorndeck/config/Manifest.h
@@ -2,7 +2,7 @@
 #define BUCKTHORNDECK_CONFIG_MANIFEST_H
 
 #include "buckthorndeck/base/Json.h"
-#include "buckthorndeck/config/ObjectId.h"
+#include "buckthorndeck/config/Changes.h"
 
 #include <string>
 #include <vector>
@@ -24,17 +24,6 @@
   Digest Content; //!< Of the text under the key.
 };
 
-enum class ChangeAction { Added, Changed, Removed };
-
-const char *toString(ChangeAction Action);
-
-struct ObjectChange {
-  ObjectId Object;
-  ChangeAction Action = ChangeAction::Changed;
-
-  friend bool operator==(const ObjectChange &, const ObjectChange &) = default;
-};
-
 //! Who published a version, when and what.
 struct AuditEntry {
   ConfigVersion Version;
@@ -57,11 +46,16 @@
   std::vector<AuditEntry> Audit; //!< Oldest first, this version last.
 };
 
+Json toJson(const ObjectChange &Change);
 Json toJson(const AuditEntry &Entry);
 Json toJson(const Manifest &Value);
 Expected<Manifest> parseManifest(const std::string &Text,
                                  const std::string &Peer);
 
+//! Entry of an operation; null if the audit entries do not have it.
+const AuditEntry *findOperation(const Manifest &Content,
+                                const std::string &Operation);
+
 //! Key of a shard.
 std::string shardKey(ConfigVersion Target, const std::string &Operation,
                      std::size_t Number);
--- a/packages/config/src/buckthorndeck/config/ObjectFiles.cpp
+++ b/packages/config/src/buckthorndeck/config/ObjectFiles.cpp
@@ -89,7 +89,7 @@
       continue;
     const std::string Short = Found->get<std::string>();
     if (Short.find('/') == std::string::npos)
-      *Found = Namespace + "/" + Short;
+      *Found = std::string(Namespace).append("/").append(Short);
   }
 }
 
@@ -154,8 +154,8 @@
     if (Items == File.Document.end() || !Items->is_array())
       return;
     for (std::size_t Index = 0; Index < Items->size(); ++Index) {
-      const std::string Element =
-          std::string(Kind.Plural) + "[" + std::to_string(Index) + "]";
+      std::string Element = Kind.Plural;
+      Element.append("[").append(std::to_string(Index)).append("]");
       if (Form.BadObjects.contains(Element))
         noteUnread(Kind, (*Items)[Index]);
       else
--- a/packages/config/src/buckthorndeck/config/ObjectId.h
+++ b/packages/config/src/buckthorndeck/config/ObjectId.h
@@ -4,6 +4,7 @@
 #include "buckthorndeck/base/Ids.h"
 
 #include <string>
+#include <tuple>
 
 namespace buckthorndeck::config {
 
@@ -12,7 +13,11 @@
   std::string Kind; //!< For example "backend_server".
   ObjectName Name;
 
-  friend auto operator<=>(const ObjectId &, const ObjectId &) = default;
+  friend bool operator==(const ObjectId &, const ObjectId &) = default;
+  friend bool operator<(const ObjectId &First, const ObjectId &Second) {
+    return std::tie(First.Kind, First.Name) <
+           std::tie(Second.Kind, Second.Name);
+  }
 };
 
 //! "kind namespace/name".
--- a/packages/config/src/buckthorndeck/config/ObjectJson.cpp
+++ b/packages/config/src/buckthorndeck/config/ObjectJson.cpp
@@ -45,7 +45,7 @@
   constexpr std::size_t Digits = 16;
   std::string Text(Digits, '0');
   char Buffer[Digits];
-  const auto End =
+  const char *const End =
       std::to_chars(Buffer, Buffer + Digits, Value.value(), 16).ptr;
   const auto Length = static_cast<std::size_t>(End - Buffer);
   Text.replace(Digits - Length, Length, Buffer, Length);
--- /dev/null
+++ b/packages/config/src/buckthorndeck/config/OrphanCleaner.h
@@ -0,0 +1,25 @@
+#ifndef BUCKTHORNDECK_CONFIG_ORPHANCLEANER_H
+#define BUCKTHORNDECK_CONFIG_ORPHANCLEANER_H
+
+#include "buckthorndeck/base/Error.h"
+#include "buckthorndeck/config/Manifest.h"
+#include "buckthorndeck/net/Task.h"
+
+namespace buckthorndeck::config {
+
+class StoreClient;
+
+/**
+ * Removes shards that no version can need any more and returns their number.
+ *
+ * Removes a shard only if its target version is at most the version of
+ * Content and Content does not refer to it. A newer manifest refers to such a
+ * shard never: a publisher reuses only shards of its direct base, and writes
+ * new ones for a higher version. Content may therefore be arbitrarily old.
+ */
+Task<Expected<std::size_t>> removeOrphans(StoreClient &Store, Manifest Content,
+                                          TimePoint Deadline);
+
+} // namespace buckthorndeck::config
+
+#endif // BUCKTHORNDECK_CONFIG_ORPHANCLEANER_H
--- a/packages/config/src/buckthorndeck/config/PublishedReader.cpp
+++ b/packages/config/src/buckthorndeck/config/PublishedReader.cpp
@@ -2,10 +2,8 @@
 
 #include "buckthorndeck/base/Hash.h"
 #include "buckthorndeck/config/ObjectJson.h"
+#include "buckthorndeck/config/Shards.h"
 #include "buckthorndeck/config/StoreClient.h"
-#include "buckthorndeck/config/internal/Kinds.h"
-
-#include <tuple>
 
 namespace buckthorndeck::config {
 
@@ -39,28 +37,6 @@
   co_return Text;
 }
 
-//! Moves the objects of one shard into the set.
-Expected<void> addShard(const ShardReference &Shard, const std::string &Text,
-                        ObjectSet &Into) {
-  const Json Value = Json::parse(Text, nullptr, /*allow_exceptions=*/false);
-  auto Part = fromJson(Value, Shard.Key);
-  if (!Part)
-    return Unexpected(Part.error());
-  const auto Merge = [](auto &To, auto &From) {
-    To.merge(From);
-    return From.empty();
-  };
-  bool Distinct = Merge(Into.Places, Part->Places);
-  Distinct &= Merge(Into.Services, Part->Services);
-  Distinct &= Merge(Into.BackendServers, Part->BackendServers);
-  Distinct &= Merge(Into.Rules, Part->Rules);
-  Distinct &= Merge(Into.EntryHostDrains, Part->EntryHostDrains);
-  if (!Distinct)
-    return failed(ErrorCode::Invalid, "read shard", Shard.Key,
-                  "an object is also in another shard");
-  return {};
-}
-
 } // namespace
 
 Task<Expected<StoredManifest>> readManifest(StoreClient &Store,
@@ -99,7 +75,7 @@
     auto Text = co_await readShard(Store, Shard, Deadline, Cache);
     if (!Text)
       co_return Unexpected(Text.error());
-    const auto Added = addShard(Shard, *Text, Result);
+    const auto Added = addShard(Shard.Key, *Text, Result);
     if (!Added)
       co_return Unexpected(Added.error());
     if (Cache)
--- /dev/null
+++ b/packages/config/src/buckthorndeck/config/Publisher.cpp
@@ -0,0 +1,314 @@
+#include "buckthorndeck/config/Publisher.h"
+
+#include "buckthorndeck/base/Hash.h"
+#include "buckthorndeck/base/Log.h"
+#include "buckthorndeck/config/ObjectJson.h"
+#include "buckthorndeck/config/Shards.h"
+#include "buckthorndeck/config/StoreClient.h"
+#include "buckthorndeck/config/TimeText.h"
+#include "buckthorndeck/config/Validation.h"
+
+#include <algorithm>
+#include <random>
+
+namespace buckthorndeck::config {
+
+namespace {
+
+constexpr std::size_t MaxAuthorLength = 128;
+
+Error failure(ErrorCode Code, const std::string &Message) {
+  return {
+      .Code = Code, .Step = "publish", .Peer = ManifestKey, .Message = Message};
+}
+
+tl::unexpected<PublishFailure> failed(Error Reason) {
+  return tl::unexpected(PublishFailure{.Reason = std::move(Reason)});
+}
+
+bool isPrintable(const std::string &Text) {
+  return std::all_of(Text.begin(), Text.end(),
+                     [](char C) { return C >= 0x20 && C < 0x7f; });
+}
+
+//! What makes a request unfit to be published, whatever the store holds.
+std::optional<Error> checkRequest(const PublishRequest &Request) {
+  if (!isValidName(Request.Operation))
+    return failure(ErrorCode::Invalid, "the operation id is invalid");
+  if (Request.Author.empty() || Request.Author.size() > MaxAuthorLength ||
+      !isPrintable(Request.Author))
+    return failure(ErrorCode::Invalid,
+                   "expected an author of 1 to 128 printable characters");
+  const auto Mistakes = validate(Request.Objects);
+  if (!Mistakes.empty())
+    return failure(ErrorCode::Invalid,
+                   "the set has " + std::to_string(Mistakes.size()) +
+                       " mistakes, the first is: " + describe(Mistakes[0]));
+  return std::nullopt;
+}
+
+//! Changes of the versions after Base, as far as the audit entries name all
+//! of them.
+std::optional<std::vector<ObjectChange>> changesSince(const Manifest &Content,
+                                                      ConfigVersion Base) {
+  std::vector<ObjectChange> Changes;
+  std::uint64_t Next = Base.value() + 1;
+  for (const AuditEntry &Entry : Content.Audit) {
+    if (Entry.Version <= Base)
+      continue;
+    if (Entry.Version.value() != Next++ ||
+        Entry.Changes.size() != Entry.ChangeCount)
+      return std::nullopt;
+    Changes.insert(Changes.end(), Entry.Changes.begin(), Entry.Changes.end());
+  }
+  return Changes;
+}
+
+PublishFailure conflict(const Manifest &Current,
+                        std::vector<ObjectId> BothChanged) {
+  PublishConflict Details{.Current = Current.Version,
+                          .BothChanged = std::move(BothChanged)};
+  if (!Current.Audit.empty())
+    Details.Winner = Current.Audit.back();
+  Error Reason = failure(ErrorCode::Conflict, describe(Details));
+  return {.Reason = std::move(Reason), .Conflict = std::move(Details)};
+}
+
+//! The conflict of a request whose base was replaced before it started.
+PublishFailure conflictWith(const PublishedSet &Current,
+                            const PublishRequest &Request) {
+  const auto Replaced = changesBetween(Current.Objects, Request.Objects);
+  const auto Since = changesSince(Current.Content, Request.Base);
+  return conflict(Current.Content,
+                  changedInBoth(Replaced, Since ? *Since : Replaced));
+}
+
+Manifest makeManifest(const PublishedSet &Before, const PublishRequest &Request,
+                      std::vector<ShardReference> Shards) {
+  Manifest Next{.Version = ConfigVersion(Before.Content.Version.value() + 1),
+                .Operation = Request.Operation,
+                .Author = Request.Author,
+                .TimeMs = Request.TimeMs,
+                .Objects = digestOf(Request.Objects),
+                .Shards = std::move(Shards),
+                .Audit = Before.Content.Audit};
+  AuditEntry Entry{.Version = Next.Version,
+                   .Base = Request.Base,
+                   .Operation = Request.Operation,
+                   .Author = Request.Author,
+                   .TimeMs = Request.TimeMs,
+                   .Changes = changesBetween(Before.Objects, Request.Objects)};
+  Entry.ChangeCount = Entry.Changes.size();
+  Entry.Changes.resize(std::min(Entry.Changes.size(), MaxListedChanges));
+  if (Next.Audit.size() >= MaxAuditEntries)
+    Next.Audit.erase(Next.Audit.begin(),
+                     Next.Audit.end() - (MaxAuditEntries - 1));
+  Next.Audit.push_back(std::move(Entry));
+  return Next;
+}
+
+//! Writes one shard. Its key belongs to this operation alone, so a key that
+//! already holds the text is an earlier attempt that took effect.
+Task<Expected<void>> writeShard(StoreClient &Store, std::string Key,
+                                std::string Text, TimePoint Deadline) {
+  for (unsigned Attempt = 0;; ++Attempt) {
+    const auto Written = co_await Store.compareAndSwap(Key, Text, 0, Deadline);
+    if (Written && Written->Written)
+      co_return Expected<void>();
+    if (!Written && Written.error().Code != ErrorCode::Timeout)
+      co_return Unexpected(Written.error());
+    const auto Held = co_await Store.get(Key, Deadline);
+    if (!Held)
+      co_return Unexpected(Held.error());
+    if (*Held && (*Held)->Value == Text)
+      co_return Expected<void>();
+    if (*Held)
+      co_return Unexpected(Error{.Code = ErrorCode::Conflict,
+                                 .Step = "write shard",
+                                 .Peer = Key,
+                                 .Message = "the key holds another value"});
+    if (!co_await Store.pause(Attempt, Deadline))
+      co_return Unexpected(Error{.Code = ErrorCode::Unavailable,
+                                 .Step = "write shard",
+                                 .Peer = Key,
+                                 .Message = "the store does not answer"});
+  }
+}
+
+//! Writes the shards of Objects that the base manifest does not have yet.
+//! Only shards of the direct base are reused: the cleaner's rule relies on it.
+Task<Expected<std::vector<ShardReference>>>
+writeShards(StoreClient &Store, const Manifest &Base, std::string Operation,
+            const ObjectSet &Objects, TimePoint Deadline) {
+  const ConfigVersion Target(Base.Version.value() + 1);
+  std::vector<ShardReference> Shards;
+  for (std::string &Text : splitIntoShards(Objects)) {
+    const Digest Content = buckthorndeck::digestOf(std::string_view(Text));
+    const auto Known = std::find_if(
+        Base.Shards.begin(), Base.Shards.end(),
+        [&](const ShardReference &Shard) { return Shard.Content == Content; });
+    if (Known != Base.Shards.end()) {
+      Shards.push_back(*Known);
+      continue;
+    }
+    std::string Key = shardKey(Target, Operation, Shards.size());
+    const auto Written =
+        co_await writeShard(Store, Key, std::move(Text), Deadline);
+    if (!Written)
+      co_return Unexpected(Written.error());
+    Shards.push_back({.Key = std::move(Key), .Content = Content});
+  }
+  co_return Shards;
+}
+
+Error unknownOutcome(const PublishRequest &Request, const Error &Cause) {
+  return failure(
+      ErrorCode::Timeout,
+      "it is not known whether operation " + Request.Operation +
+          " took effect; look for it in the history: " + describe(Cause));
+}
+
+//! Objects that the request and the versions between Before and Current both
+//! changed.
+Task<PublishFailure> conflictAfter(StoreClient &Store,
+                                   const PublishedSet &Before,
+                                   StoredManifest Current,
+                                   const PublishRequest &Request,
+                                   TimePoint Deadline) {
+  const auto Wanted = changesBetween(Before.Objects, Request.Objects);
+  const auto Objects = co_await readObjects(Store, Current.Content, Deadline);
+  if (Objects)
+    co_return conflict(
+        Current.Content,
+        changedInBoth(Wanted, changesBetween(Before.Objects, *Objects)));
+  const auto Since = changesSince(Current.Content, Before.Content.Version);
+  co_return conflict(Current.Content,
+                     changedInBoth(Wanted, Since ? *Since : Wanted));
+}
+
+//! Replaces the manifest that Before was read from.
+Task<PublishOutcome> swapManifest(StoreClient &Store,
+                                  const PublishedSet &Before,
+                                  const PublishRequest &Request, Manifest Next,
+                                  TimePoint Deadline) {
+  const std::string Text = toJson(Next).dump();
+  bool MayHaveWritten = false;
+  for (unsigned Attempt = 0;; ++Attempt) {
+    const auto Swapped = co_await Store.compareAndSwap(
+        ManifestKey, Text, Before.Revision, Deadline);
+    if (Swapped && Swapped->Written)
+      co_return PublishResult{.Version = Next.Version};
+    if (!Swapped && Swapped.error().Code != ErrorCode::Timeout)
+      co_return failed(MayHaveWritten ? unknownOutcome(Request, Swapped.error())
+                                      : Swapped.error());
+    MayHaveWritten = MayHaveWritten || !Swapped;
+    // A conflict proves that a newer manifest exists; an older one that is
+    // read after it is stale.
+    const std::uint64_t MinRevision =
+        Swapped ? std::max(Swapped->Revision, Before.Revision + 1) : 0;
+    auto Current = co_await readManifest(Store, Deadline, MinRevision);
+    if (!Current)
+      co_return failed(MayHaveWritten ? unknownOutcome(Request, Current.error())
+                                      : Current.error());
+    if (const auto *Own = findOperation(Current->Content, Request.Operation))
+      co_return PublishResult{.Version = Own->Version};
+    if (Current->Revision > Before.Revision)
+      co_return tl::unexpected(co_await conflictAfter(
+          Store, Before, std::move(*Current), Request, Deadline));
+    // The manifest is unchanged as far as the store tells. The same swap can
+    // be sent again, because both attempts expect the same revision and at
+    // most one can take effect.
+    if (!co_await Store.pause(Attempt, Deadline))
+      co_return failed(unknownOutcome(
+          Request, failure(ErrorCode::Unavailable,
+                           "the store does not answer the write")));
+  }
+}
+
+//! Reads the current set. A version below Base may be a stale answer, so it
+//! is asked for again.
+Task<Expected<PublishedSet>> readAtLeast(StoreClient &Store, ConfigVersion Base,
+                                         TimePoint Deadline) {
+  std::optional<ConfigVersion> Older;
+  for (unsigned Attempt = 0;; ++Attempt) {
+    auto Current = co_await readPublished(Store, Deadline);
+    if (Current && Current->Content.Version >= Base)
+      co_return Current;
+    if (!Current && !Older)
+      co_return Current;
+    if (Current)
+      Older = Current->Content.Version;
+    if (!Current || !co_await Store.pause(Attempt, Deadline))
+      co_return Unexpected(
+          failure(ErrorCode::Invalid,
+                  "base version " + std::to_string(Base.value()) +
+                      " was never published, the current version is " +
+                      std::to_string(Older->value())));
+  }
+}
+
+void logOutcome(const PublishRequest &Request, const PublishOutcome &Outcome) {
+  if (Outcome)
+    log(LogLevel::Info, "published",
+        {{"version", Outcome->Version.value()},
+         {"operation", Request.Operation},
+         {"author", Request.Author}});
+}
+
+Task<PublishOutcome> publishChecked(StoreClient &Store,
+                                    const PublishRequest &Request,
+                                    TimePoint Deadline) {
+  const auto Unfit = checkRequest(Request);
+  if (Unfit)
+    co_return failed(*Unfit);
+  const auto Before = co_await readAtLeast(Store, Request.Base, Deadline);
+  if (!Before)
+    co_return failed(Before.error());
+  if (const auto *Own = findOperation(Before->Content, Request.Operation))
+    co_return PublishResult{.Version = Own->Version};
+  if (Before->Content.Version != Request.Base)
+    co_return tl::unexpected(conflictWith(*Before, Request));
+  if (Before->Objects == Request.Objects)
+    co_return PublishResult{.Version = Request.Base, .Changed = false};
+  auto Shards = co_await writeShards(Store, Before->Content, Request.Operation,
+                                     Request.Objects, Deadline);
+  if (!Shards)
+    co_return failed(Shards.error());
+  Manifest Next = makeManifest(*Before, Request, std::move(*Shards));
+  co_return co_await swapManifest(Store, *Before, Request, std::move(Next),
+                                  Deadline);
+}
+
+} // namespace
+
+std::string describe(const PublishConflict &Conflict) {
+  std::string Line = "version " + std::to_string(Conflict.Current.value()) +
+                     " was published first by " + Conflict.Winner.Author +
+                     " at " + formatTime(Conflict.Winner.TimeMs) +
+                     " (operation " + Conflict.Winner.Operation + ")";
+  if (Conflict.BothChanged.empty())
+    return Line + "; no object was changed by both";
+  Line += "; changed by both:";
+  for (std::size_t Index = 0; Index < Conflict.BothChanged.size(); ++Index)
+    Line += (Index == 0 ? " " : ", ") + describe(Conflict.BothChanged[Index]);
+  return Line;
+}
+
+std::string makeOperationId() {
+  constexpr std::string_view Digits = "0123456789abcdef";
+  std::random_device Source;
+  std::string Id;
+  for (unsigned Count = 0; Count < 32; ++Count)
+    Id += Digits[Source() % Digits.size()];
+  return Id;
+}
+
+Task<PublishOutcome> publish(StoreClient &Store, PublishRequest Request,
+                             TimePoint Deadline) {
+  const PublishOutcome Outcome =
+      co_await publishChecked(Store, Request, Deadline);
+  logOutcome(Request, Outcome);
+  co_return Outcome;
+}
+
+} // namespace buckthorndeck::config
--- a/packages/config/src/buckthorndeck/config/Validation.cpp
+++ b/packages/config/src/buckthorndeck/config/Validation.cpp
@@ -13,6 +13,15 @@
 const char *const NameRule =
     "expected 1 to 63 lower-case letters, digits and inner hyphens";
 
+bool isValidOperationName(const std::string &Name) {
+  const auto IsAllowed = [](char C) {
+    return (C >= 'a' && C <= 'z') || (C >= 'A' && C <= 'Z') ||
+           (C >= '0' && C <= '9') || C == '_' || C == '.' || C == '-';
+  };
+  return !Name.empty() && Name.size() <= MaxOperationLength &&
+         std::all_of(Name.begin(), Name.end(), IsAllowed);
+}
+
 //! Collects the mistakes of one set.
 class Validator {
 public:
@@ -144,7 +153,9 @@
     checkRange("operations", Object.Operations.size(), 1, MaxOperations);
     std::set<std::string> Names;
     for (const Operation &Allowed : Object.Operations) {
-      checkRange("operations", Allowed.Name.size(), 1, MaxOperationLength);
+      if (!isValidOperationName(Allowed.Name))
+        report("operations", "an operation's name is invalid: expected 1 to 32 "
+                             "letters, digits, underscores, dots or hyphens");
       if (!Names.insert(Allowed.Name).second)
         report("operations",
                "operation \"" + Allowed.Name + "\" is declared more than once");
--- a/packages/config/src/buckthorndeck/config/Validation.h
+++ b/packages/config/src/buckthorndeck/config/Validation.h
@@ -18,8 +18,6 @@
   std::string Object; //!< "kind namespace/name"; empty for a whole file.
   std::string Field;  //!< Empty if the object as a whole is wrong.
   std::string Message;
-
-  friend auto operator<=>(const ConfigError &, const ConfigError &) = default;
 };
 
 //! "file: object: field: message", without the parts that are empty.
--- a/packages/config/src/buckthorndeck/config/internal/Kinds.h
+++ b/packages/config/src/buckthorndeck/config/internal/Kinds.h
@@ -11,15 +11,25 @@
   const char *Plural;
 };
 
-//! Calls Visit(KindName, map of that kind) for every kind, in a fixed order.
+//! Calls Visit(KindName, map in First, map in Second) for every kind, in a
+//! fixed order.
+template <typename FirstSet, typename SecondSet, typename Visitor>
+void forEachKindPair(FirstSet &First, SecondSet &Second, Visitor &&Visit) {
+  Visit(KindName{"place", "places"}, First.Places, Second.Places);
+  Visit(KindName{"service", "services"}, First.Services, Second.Services);
+  Visit(KindName{"backend_server", "backend_servers"}, First.BackendServers,
+        Second.BackendServers);
+  Visit(KindName{"rule", "rules"}, First.Rules, Second.Rules);
+  Visit(KindName{"entry_host_drain", "entry_host_drains"},
+        First.EntryHostDrains, Second.EntryHostDrains);
+}
+
+//! Calls Visit(KindName, map) for every kind, in the same order.
 template <typename Set, typename Visitor>
 void forEachKind(Set &Objects, Visitor &&Visit) {
-  Visit(KindName{"place", "places"}, Objects.Places);
-  Visit(KindName{"service", "services"}, Objects.Services);
-  Visit(KindName{"backend_server", "backend_servers"}, Objects.BackendServers);
-  Visit(KindName{"rule", "rules"}, Objects.Rules);
-  Visit(KindName{"entry_host_drain", "entry_host_drains"},
-        Objects.EntryHostDrains);
+  forEachKindPair(
+      Objects, Objects,
+      [&](const KindName &Kind, auto &Map, auto &) { Visit(Kind, Map); });
 }
 
 } // namespace buckthorndeck::config
--- a/packages/config/src/buckthorndeck/config/internal/ObjectFields.h
+++ b/packages/config/src/buckthorndeck/config/internal/ObjectFields.h
@@ -26,8 +26,9 @@
                            std::map<ObjectName, Object> &Into) {
   std::size_t Position = 0;
   for (const Json &Item : Items) {
-    const std::string Where =
-        Step + " " + Kind + "[" + std::to_string(Position++) + "]";
+    std::string Where = Step;
+    Where.append(" ").append(Kind).append("[");
+    Where.append(std::to_string(Position++)).append("]");
     FieldReader Fields(Item, Where, Peer);
     Object Read;
     readObject(Fields, Read);
