--- a/packages/entryhost/src/buckthorndeck/entryhost/HomeDecision.h
+++ b/packages/entryhost/src/buckthorndeck/entryhost/HomeDecision.h
@@ -9,7 +9,7 @@
 
 namespace buckthorndeck::membership {
 struct Member;
-}
+} // namespace buckthorndeck::membership
 
 namespace buckthorndeck::entryhost {
 
--- a/packages/entryhost/src/buckthorndeck/entryhost/HostContext.h
+++ b/packages/entryhost/src/buckthorndeck/entryhost/HostContext.h
@@ -15,7 +15,7 @@
 
 namespace buckthorndeck {
 class UdpSocket;
-}
+} // namespace buckthorndeck
 
 namespace buckthorndeck::entryhost {
 
--- a/packages/entryhost/src/buckthorndeck/entryhost/PeerLink.h
+++ b/packages/entryhost/src/buckthorndeck/entryhost/PeerLink.h
@@ -9,7 +9,7 @@
 
 namespace buckthorndeck {
 class UdpSocket;
-}
+} // namespace buckthorndeck
 
 namespace buckthorndeck::entryhost {
 
--- a/packages/entryhost/src/buckthorndeck/entryhost/ServiceTable.h
+++ b/packages/entryhost/src/buckthorndeck/entryhost/ServiceTable.h
@@ -8,7 +8,7 @@
 
 namespace buckthorndeck::config {
 struct ObjectSet;
-}
+} // namespace buckthorndeck::config
 
 namespace buckthorndeck::entryhost {
 
--- a/packages/routing/src/buckthorndeck/routing/Dispatcher.h
+++ b/packages/routing/src/buckthorndeck/routing/Dispatcher.h
@@ -14,7 +14,7 @@
 
 namespace buckthorndeck::config {
 struct ObjectSet;
-}
+} // namespace buckthorndeck::config
 
 namespace buckthorndeck::routing {
 
