--- a/packages/standins/src/buckthorndeck/standins/Caller.cpp
+++ b/packages/standins/src/buckthorndeck/standins/Caller.cpp
@@ -66,6 +66,8 @@
   Bytes Token; //!< The same for every attempt.
   std::list<Assembly> Assemblies;
   std::optional<TimePoint> LastPart; //!< Arrival of an answer's part.
+  bool HomeHasAll = false; //!< Some home has accepted the whole request.
+  bool Accepted = false;   //!< Accepted since the latest attempt.
   std::uint32_t Attempts = 0;
   bool Done = false;
   wire::Outcome Result = wire::Outcome::Unknown;
@@ -227,7 +229,7 @@
       Self->send(Request);
       // An answer shows that the home has the whole request; one part is then
       // enough to ask for the rest of the answer.
-      if (Entry->LastPart)
+      if (Entry->LastPart || Entry->HomeHasAll)
         co_return;
     }
   }
@@ -243,6 +245,7 @@
     Milliseconds Pause = Self->Options.FirstRetry;
     while (true) {
       ++Entry->Attempts;
+      Entry->Accepted = false;
       co_await sendParts(Self, Entry, Request, Parts, Deadline);
       const TimePoint Sent = Clock::now();
       const Milliseconds Wait = Self->jittered(Pause);
@@ -258,7 +261,9 @@
       if (Self->Stopped || Clock::now() >= GiveUp)
         co_return false;
       Pause = std::min(Pause * 2, Self->Options.MaxRetry);
-      Request.Attempt = std::min(Request.Attempt + 1, MaxAttempt);
+      // A home that answers is alive, so its attempts are counted anew.
+      Request.Attempt =
+          Entry->Accepted ? 2 : std::min(Request.Attempt + 1, MaxAttempt);
       if (Request.Attempt > AttemptsBeforeReopen && Self->LastHeard < Begin) {
         // Only later requests use the new token.
         Self->dropToken(Request.Token);
@@ -382,6 +387,15 @@
     Entry.Wake.notifyAll();
   }
 
+  void onAccepted(const wire::Accepted &Message) {
+    const auto Found = InProgress.find(Message.Number.value());
+    if (Found == InProgress.end())
+      return;
+    LastHeard = Clock::now();
+    Found->second->HomeHasAll = true;
+    Found->second->Accepted = true;
+  }
+
   // The subscription.
 
   static Task<> keepAlive(std::shared_ptr<State> Self,
@@ -525,6 +539,9 @@
                    std::get_if<wire::Subscribed>(&Message)) {
       if (Ours(Confirmed->Flow))
         onSubscribed(*Confirmed);
+    } else if (const auto *Accepted = std::get_if<wire::Accepted>(&Message)) {
+      if (Ours(Accepted->Flow))
+        onAccepted(*Accepted);
     } else {
       ++Stats.BadDatagrams;
     }
