--- a/packages/standins/programs/caller.cpp
+++ b/packages/standins/programs/caller.cpp
@@ -19,12 +19,14 @@
   Session(const Executor &Where, CallPlan Plan, Caller Flow,
           std::string Service)
       : Plan(std::move(Plan)), Flow(std::move(Flow)),
-        Service(std::move(Service)), Changed(Where) {}
+        Service(std::move(Service)), Changed(Where),
+        Signals(Where, SIGTERM, SIGINT) {}
 
   CallPlan Plan;
   Caller Flow;
   std::string Service;
   Notifier Changed;
+  boost::asio::signal_set Signals;
   std::size_t NextCall = 0;
   std::uint32_t Repeated = 0; //!< Times that the next call was started.
   unsigned Running = 0;       //!< Tasks that have not ended.
@@ -70,7 +72,8 @@
       Shared->Repeated = 0;
       ++Shared->NextCall;
     }
-    const CallResult Result = co_await Shared->Flow.call(Planned.Request);
+    CallRequest Request = Planned.Request;
+    const CallResult Result = co_await Shared->Flow.call(std::move(Request));
     if (!Shared->Interrupted)
       report(*Shared, Planned, Result);
   }
@@ -115,9 +118,9 @@
   finishTask(*Shared);
 }
 
-Task<> interruptOnSignal(std::shared_ptr<Session> Shared,
-                         std::shared_ptr<boost::asio::signal_set> Signals) {
-  if (co_await nextSignal(*Signals) == 0)
+Task<> interruptOnSignal(std::shared_ptr<Session> Shared) {
+  const int Number = co_await nextSignal(Shared->Signals);
+  if (Number == 0)
     co_return;
   Shared->Interrupted = true;
   Shared->Flow.cancelCalls();
@@ -127,8 +130,6 @@
 
 Task<int> serve(Json Settings) {
   const Executor Where = co_await boost::asio::this_coro::executor;
-  auto Signals =
-      std::make_shared<boost::asio::signal_set>(Where, SIGTERM, SIGINT);
   auto Started = Caller::start(Where, readCallerOptions(Settings));
   if (!Started) {
     log(LogLevel::Error, "start_failed",
@@ -142,7 +143,7 @@
   }
   auto Shared = std::make_shared<Session>(
       Where, readCallPlan(Settings), std::move(*Started), Settings["service"]);
-  spawn(Where, "signals", interruptOnSignal(Shared, Signals));
+  spawn(Where, "signals", interruptOnSignal(Shared));
   Shared->Running = Shared->Plan.Parallel;
   for (std::uint32_t Index = 0; Index < Shared->Plan.Parallel; ++Index)
     spawn(Where, "calls", runCalls(Shared));
