Add buckthornctl: check, diff, publish, show, history, drain, undrain, status

Cause: operators need one command to check, publish and inspect the declared objects, and to know when a version is in force.

Change: the package operator with the binary buckthornctl. A drain is repeated from the new version when another publish changed other objects first. A publish now reports a missing answer to a read or to a shard as "nothing changed": the first form called it an unknown outcome, which a command test found.

Ruled out: a default base version.

--- a/packages/config/src/buckthorndeck/config/ObjectFiles.cpp
+++ b/packages/config/src/buckthorndeck/config/ObjectFiles.cpp
@@ -263,4 +263,21 @@
   return Result;
 }
 
+Json toFile(const ObjectSet &Objects, const std::string &Namespace) {
+  Json Result = {{"namespace", Namespace}};
+  forEachKind(Objects, [&](const KindName &Kind, const auto &Map) {
+    for (const auto &[Name, Object] : Map) {
+      if (namespaceOf(Name) != Namespace)
+        continue;
+      Json Item = objectToJson(Object);
+      for (const char *Field : {"name", "place", "service"})
+        if (Item.contains(Field))
+          Item[Field] = Item[Field].template get<std::string>().substr(
+              Namespace.size() + 1);
+      Result[Kind.Plural].push_back(std::move(Item));
+    }
+  });
+  return Result;
+}
+
 } // namespace buckthorndeck::config
--- a/packages/config/src/buckthorndeck/config/ObjectFiles.h
+++ b/packages/config/src/buckthorndeck/config/ObjectFiles.h
@@ -32,6 +32,9 @@
 //! read in the order of their names, directories below them included.
 DeclaredSet checkPaths(const std::vector<std::string> &Paths);
 
+//! The objects of one namespace as an object file, with short names.
+Json toFile(const ObjectSet &Objects, const std::string &Namespace);
+
 } // namespace buckthorndeck::config
 
 #endif // BUCKTHORNDECK_CONFIG_OBJECTFILES_H
--- a/packages/config/src/buckthorndeck/config/Publisher.cpp
+++ b/packages/config/src/buckthorndeck/config/Publisher.cpp
@@ -26,6 +26,14 @@
   return tl::unexpected(PublishFailure{.Reason = std::move(Reason)});
 }
 
+//! A failure before the manifest was written. The answer that was missing is
+//! that of a read or of a shard, so nothing was published.
+tl::unexpected<PublishFailure> failedUnchanged(Error Reason) {
+  if (Reason.Code == ErrorCode::Timeout)
+    Reason.Code = ErrorCode::Unavailable;
+  return failed(std::move(Reason));
+}
+
 bool isPrintable(const std::string &Text) {
   return std::all_of(Text.begin(), Text.end(),
                      [](char C) { return C >= 0x20 && C < 0x7f; });
@@ -199,8 +207,9 @@
     if (Swapped && Swapped->Written)
       co_return PublishResult{.Version = Next.Version};
     if (!Swapped && Swapped.error().Code != ErrorCode::Timeout)
-      co_return failed(MayHaveWritten ? unknownOutcome(Request, Swapped.error())
-                                      : Swapped.error());
+      co_return MayHaveWritten
+          ? failed(unknownOutcome(Request, Swapped.error()))
+          : failedUnchanged(Swapped.error());
     MayHaveWritten = MayHaveWritten || !Swapped;
     // A conflict proves that a newer manifest exists; an older one that is
     // read after it is stale.
@@ -208,8 +217,9 @@
         Swapped ? std::max(Swapped->Revision, Before.Revision + 1) : 0;
     auto Current = co_await readManifest(Store, Deadline, MinRevision);
     if (!Current)
-      co_return failed(MayHaveWritten ? unknownOutcome(Request, Current.error())
-                                      : Current.error());
+      co_return MayHaveWritten
+          ? failed(unknownOutcome(Request, Current.error()))
+          : failedUnchanged(Current.error());
     if (const auto *Own = findOperation(Current->Content, Request.Operation))
       co_return PublishResult{.Version = Own->Version};
     if (Current->Revision > Before.Revision)
@@ -263,7 +273,7 @@
     co_return failed(*Unfit);
   const auto Before = co_await readAtLeast(Store, Request.Base, Deadline);
   if (!Before)
-    co_return failed(Before.error());
+    co_return failedUnchanged(Before.error());
   if (const auto *Own = findOperation(Before->Content, Request.Operation))
     co_return PublishResult{.Version = Own->Version};
   if (Before->Content.Version != Request.Base)
@@ -273,7 +283,7 @@
   auto Shards = co_await writeShards(Store, Before->Content, Request.Operation,
                                      Request.Objects, Deadline);
   if (!Shards)
-    co_return failed(Shards.error());
+    co_return failedUnchanged(Shards.error());
   Manifest Next = makeManifest(*Before, Request, std::move(*Shards));
   co_return co_await swapManifest(Store, *Before, Request, std::move(Next),
                                   Deadline);
--- /dev/null
+++ b/packages/operator/tests/CommandsTests.cpp
@@ -0,0 +1,352 @@
+#include "../../config/tests/FakeStore.h"
+#include "../../config/tests/SampleObjects.h"
+
+#include "buckthorndeck/config/ObjectJson.h"
+#include "buckthorndeck/config/PublishedReader.h"
+#include "buckthorndeck/net/WebSocket.h"
+#include "buckthorndeck/operator/Commands.h"
+
+#include <catch2/catch.hpp>
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+#include <stdlib.h>
+
+using namespace buckthorndeck;
+using namespace buckthorndeck::operators;
+using config::Fault;
+
+namespace {
+
+//! An entry host that reports the version in the store, or a fixed one.
+class FakeHost {
+public:
+  FakeHost(boost::asio::io_context &Context, config::FakeStore &Store)
+      : Listener(*WebSocketListener::bind(
+            Context.get_executor(),
+            TcpEndpoint(boost::asio::ip::address_v4::loopback(), 0))),
+        Store(Store) {
+    spawn(Context.get_executor(), "fake_host",
+          Listener.serve([this](WebSocket::Pointer Link) {
+            return answer(std::move(Link));
+          }));
+  }
+
+  std::string address() const { return toString(Listener.localEndpoint()); }
+
+  std::string Name = "entry-1";
+  std::optional<std::uint64_t> FixedVersion;
+  //! Questions that are answered with the version before.
+  unsigned Lag = 0;
+  Json Members = Json::array();
+
+private:
+  std::uint64_t version() {
+    const std::uint64_t Published = Store.Manifests.size();
+    if (Lag > 0 && Lag-- > 0)
+      return Published - 1;
+    return FixedVersion.value_or(Published);
+  }
+
+  Task<> answer(WebSocket::Pointer Link) {
+    while (co_await Link->receive()) {
+      const Json Status = {
+          {"type", "status"},        {"host", Name},
+          {"region", "doo-central"}, {"failure_domain", "sapporo-kita"},
+          {"version", version()},    {"draining", false},
+          {"members", Members},      {"servers", Json::array()}};
+      Link->send(Status);
+    }
+  }
+
+  WebSocketListener Listener;
+  config::FakeStore &Store;
+};
+
+struct Fixture {
+  Fixture() {
+    std::string Pattern =
+        (std::filesystem::temp_directory_path() / "buckthornctl-XXXXXX")
+            .string();
+    REQUIRE(mkdtemp(Pattern.data()));
+    Directory = Pattern;
+  }
+  ~Fixture() { std::filesystem::remove_all(Directory); }
+  Fixture(const Fixture &) = delete;
+  Fixture &operator=(const Fixture &) = delete;
+
+  std::string write(const std::string &Name, const Json &Document) {
+    const std::string Path = (Directory / Name).string();
+    std::ofstream(Path) << Document.dump();
+    return Path;
+  }
+
+  std::string sample(unsigned Servers) {
+    return write("exchange.json", config::sampleFile(Servers).Document);
+  }
+
+  //! Runs one command line against the fake store.
+  ExitCode run(std::vector<std::string> Words) {
+    if (Words[0] != "check")
+      Words.insert(Words.end(),
+                   {"--store", toString(Store.clientOptions().Address)});
+    if (Words[0] == "publish" || Words[0] == "drain" || Words[0] == "undrain")
+      Words.insert(Words.end(), {"--author", "ann"});
+    Out.str("");
+    Err.str("");
+    const auto Wanted = parseCommandLine(Words);
+    if (!Wanted) {
+      Err << Wanted.error();
+      return ExitCode::WrongUsage;
+    }
+    const Streams Output{.Out = Out, .Err = Err};
+    return config::runTask(Context, runCommand(*Wanted, Output));
+  }
+
+  config::ObjectSet published() {
+    config::StoreClient Client(Store.clientOptions());
+    const auto Read =
+        config::runTask(Context, config::readPublished(Client, config::soon()));
+    REQUIRE(Read);
+    return Read->Objects;
+  }
+
+  void listHost(const FakeHost &Host) {
+    Store.Hosts.push_back({{"name", Host.Name},
+                           {"region", "doo-central"},
+                           {"failure_domain", "sapporo-kita"},
+                           {"peer_address", "127.0.0.1:1"},
+                           {"sync_address", Host.address()},
+                           {"caller_address", "127.0.0.1:2"},
+                           {"state", "live"}});
+  }
+
+  std::filesystem::path Directory;
+  boost::asio::io_context Context;
+  config::FakeStore Store{Context};
+  std::ostringstream Out;
+  std::ostringstream Err;
+};
+
+} // namespace
+
+TEST_CASE("Each wrong command line is refused", "[command-line]") {
+  const std::vector<std::vector<std::string>> Table = {
+      {},
+      {"frobnicate"},
+      {"check"},
+      {"diff", "a.json"},
+      {"publish", "--store=127.0.0.1:1", "a.json"},
+      {"publish", "--store=somewhere", "--author=ann", "a.json"},
+      {"publish", "--store=127.0.0.1:1", "--author=ann", "--base=x", "a.json"},
+      {"history", "--store=127.0.0.1:1", "--limit=0"},
+      {"history", "--store=127.0.0.1:1", "--base=1"},
+      {"drain", "host", "entry-1", "--store=127.0.0.1:1", "--author=ann"},
+      {"status"},
+      {"show", "--settings=/nonexistent"},
+  };
+  for (const auto &Words : Table) {
+    INFO((Words.empty() ? "" : Words[0]) << " with " << Words.size());
+    CHECK_FALSE(parseCommandLine(Words));
+  }
+}
+
+TEST_CASE("Flags override the settings file", "[command-line]") {
+  Fixture Test;
+  const std::string File = Test.write(
+      "settings.json",
+      {{"store", "127.0.0.1:5"}, {"author", "ann"}, {"timeout_ms", 7U}});
+  const auto Wanted =
+      parseCommandLine({"publish", "--settings", File, "--author=ben",
+                        "--base=3", "--host=127.0.0.1:6", "a.json"});
+  REQUIRE(Wanted);
+  CHECK(toString(*Wanted->Store) == "127.0.0.1:5");
+  CHECK(Wanted->Author == "ben");
+  CHECK(Wanted->StoreTimeout == Milliseconds(7));
+  CHECK(Wanted->Base == ConfigVersion(3));
+  CHECK(Wanted->Hosts.size() == 1);
+}
+
+TEST_CASE("check reports mistakes on standard error and as JSON",
+          "[commands]") {
+  Fixture Test;
+  Json Document = config::sampleFile().Document;
+  Document["rules"][0]["service"] = "none";
+  const std::string File = Test.write("bad.json", Document);
+  CHECK(Test.run({"check", "--json", Test.Directory.string()}) ==
+        ExitCode::Mistakes);
+  CHECK_THAT(Test.Err.str(), Catch::Contains(File + ": rule exchange/trading: "
+                                                    "service: no service"));
+  CHECK(Json::parse(Test.Out.str())["errors"].size() == 2);
+  CHECK(Test.run({"check", Test.sample(2)}) == ExitCode::Success);
+}
+
+TEST_CASE("publish waits for the entry hosts and names those it did not hear "
+          "from",
+          "[commands]") {
+  Fixture Test;
+  FakeHost Listed(Test.Context, Test.Store);
+  FakeHost Member(Test.Context, Test.Store);
+  Listed.Lag = 1;
+  Member.Name = "entry-2";
+  // The platform's list lags: it does not have the second host yet, and still
+  // has one that is gone.
+  Listed.Members = {{{"name", "entry-2"},
+                     {"region", "doo-central"},
+                     {"failure_domain", "sapporo-kita"},
+                     {"sync_address", Member.address()},
+                     {"state", "alive"},
+                     {"version", 0U}}};
+  Test.listHost(Listed);
+  CHECK(Test.run({"publish", "--host=127.0.0.1:1", "--json", Test.sample(2)}) ==
+        ExitCode::Success);
+  const Json Result = Json::parse(Test.Out.str());
+  CHECK(Result["version"] == 1);
+  CHECK(Result["in_force"].size() == 2);
+  CHECK(Result["behind"].empty());
+  REQUIRE(Result["not_heard"].size() == 1);
+  CHECK_THAT(Test.Err.str(),
+             Catch::Contains("not heard from the entry host at 127.0.0.1:1"));
+  CHECK_THAT(Test.Err.str(),
+             Catch::Contains("version 1 is in force on 2 of 2"));
+}
+
+TEST_CASE("publish fails when an entry host stays behind", "[commands]") {
+  // Guards against an operator being told that a version is in force while a
+  // host that answers still uses the old one.
+  Fixture Test;
+  FakeHost Host(Test.Context, Test.Store);
+  Host.FixedVersion = 0;
+  Test.listHost(Host);
+  CHECK(Test.run({"publish", "--wait=300", Test.sample(2)}) ==
+        ExitCode::NotInForce);
+  CHECK_THAT(Test.Err.str(), Catch::Contains("entry-1") &&
+                                 Catch::Contains("still has version 0"));
+}
+
+TEST_CASE("publish needs the base version once something is published",
+          "[commands]") {
+  Fixture Test;
+  CHECK(Test.run({"publish", Test.sample(2)}) == ExitCode::Success);
+  CHECK(Test.run({"publish", Test.sample(3)}) == ExitCode::WrongUsage);
+  CHECK(Test.run({"publish", "--base=1", Test.sample(3)}) == ExitCode::Success);
+  CHECK(Test.run({"publish", "--base=1", "--json", Test.sample(4)}) ==
+        ExitCode::Conflict);
+  CHECK(Json::parse(Test.Out.str())["error"]["winner"]["author"] == "ann");
+  CHECK(Test.run({"publish", "--base=current", Test.sample(4)}) ==
+        ExitCode::Success);
+  CHECK(Test.published() == config::sampleSet(4));
+  // The shards of replaced versions are gone.
+  CHECK(Test.Store.shardCount() == 1);
+}
+
+TEST_CASE("diff and history print objects and fields that changed",
+          "[commands]") {
+  Fixture Test;
+  REQUIRE(Test.run({"publish", Test.sample(2)}) == ExitCode::Success);
+  Json Document = config::sampleFile(1).Document;
+  Document["backend_servers"][0]["slots"] = 5U;
+  const std::string File = Test.write("exchange.json", Document);
+  CHECK(Test.run({"diff", File}) == ExitCode::Success);
+  CHECK(Test.Out.str() == "~ backend_server exchange/tf-0\n"
+                          "    slots: 2 -> 5\n"
+                          "- backend_server exchange/tf-1\n"
+                          "2 changes against version 1\n");
+  REQUIRE(Test.run({"publish", "--base=1", File}) == ExitCode::Success);
+  CHECK(Test.run({"history", "--limit=1"}) == ExitCode::Success);
+  CHECK_THAT(Test.Out.str(),
+             Catch::StartsWith("version 2 from 1, ") &&
+                 Catch::EndsWith("  ~ backend_server exchange/tf-0\n"
+                                 "  - backend_server exchange/tf-1\n"));
+}
+
+TEST_CASE("drain and undrain change the declared object", "[commands]") {
+  Fixture Test;
+  REQUIRE(Test.run({"publish", Test.sample(2)}) == ExitCode::Success);
+  CHECK(Test.run({"drain", "server", "exchange/tf-1"}) == ExitCode::Success);
+  CHECK(
+      Test.published().BackendServers.at(ObjectName("exchange/tf-1")).Draining);
+  CHECK(Test.run({"undrain", "server", "exchange/tf-1"}) == ExitCode::Success);
+  CHECK(Test.published() == config::sampleSet(2));
+  CHECK(Test.run({"drain", "host", "entry-1", "--namespace=exchange"}) ==
+        ExitCode::Success);
+  CHECK(Test.published().EntryHostDrains.size() == 1);
+  CHECK(Test.run({"drain", "host", "entry-1", "--namespace=exchange"}) ==
+        ExitCode::Success);
+  CHECK_THAT(Test.Out.str(), Catch::Contains("nothing to change, version 4"));
+  CHECK(Test.run({"undrain", "host", "entry-1", "--namespace=exchange"}) ==
+        ExitCode::Success);
+  CHECK(Test.published() == config::sampleSet(2));
+  CHECK(Test.run({"drain", "server", "exchange/none"}) == ExitCode::Mistakes);
+}
+
+TEST_CASE("drain is repeated from the new version when others publish other "
+          "objects first",
+          "[commands]") {
+  Fixture Test;
+  REQUIRE(Test.run({"publish", Test.sample(2)}) == ExitCode::Success);
+  bool Overtaken = false;
+  config::StoreClient Other(Test.Store.clientOptions(2));
+  Test.Store.Decide = [&](const HttpRequest &Request) {
+    // Another operator publishes between the drain's read and its write.
+    if (Overtaken || Request.Method != "PUT" ||
+        Request.Target.find(config::ManifestKey) == std::string::npos)
+      return Fault::None;
+    Overtaken = true;
+    auto &Entry = Test.Store.Entries[config::ManifestKey];
+    auto Manifest = Json::parse(Entry.Value);
+    Manifest["version"] = 2U;
+    Manifest["operation"] = "other";
+    Json Audit = Manifest["audit"][0];
+    Audit["version"] = 2U;
+    Audit["operation"] = "other";
+    Manifest["audit"].push_back(Audit);
+    Entry = {Manifest.dump(), Entry.Revision + 100};
+    Test.Store.Manifests.push_back(Entry.Value);
+    return Fault::None;
+  };
+  CHECK(Test.run({"drain", "server", "exchange/tf-1"}) == ExitCode::Success);
+  CHECK_THAT(Test.Out.str(), Catch::Contains("published version 3"));
+}
+
+TEST_CASE("show prints a namespace as a file that gives the same set",
+          "[commands]") {
+  Fixture Test;
+  REQUIRE(Test.run({"publish", Test.sample(3)}) == ExitCode::Success);
+  CHECK(Test.run({"show", "--namespace=exchange"}) == ExitCode::Success);
+  const config::DeclaredSet Declared = config::check(
+      {{.Name = "shown", .Document = Json::parse(Test.Out.str())}});
+  CHECK(Declared.Errors.empty());
+  CHECK(Declared.Objects == config::sampleSet(3));
+}
+
+TEST_CASE("status reports the hosts and a store that does not answer",
+          "[commands]") {
+  Fixture Test;
+  FakeHost Host(Test.Context, Test.Store);
+  Test.Store.Decide = [](const HttpRequest &) { return Fault::Drop; };
+  CHECK(Test.run({"status", "--json", "--timeout=100", "--host",
+                  Host.address()}) == ExitCode::Success);
+  const Json Result = Json::parse(Test.Out.str());
+  CHECK(Result["hosts"].size() == 1);
+  CHECK(Result["version"].is_null());
+  CHECK(Test.run({"status", "--timeout=100"}) == ExitCode::Unavailable);
+}
+
+TEST_CASE("A command without an answer from the store says that nothing was "
+          "changed or that it is not known",
+          "[commands]") {
+  Fixture Test;
+  REQUIRE(Test.run({"publish", Test.sample(2)}) == ExitCode::Success);
+  bool Swapped = false;
+  Test.Store.Decide = [&](const HttpRequest &Request) {
+    Swapped = Swapped ||
+              (Request.Method == "PUT" &&
+               Request.Target.find(config::ManifestKey) != std::string::npos);
+    return Swapped ? Fault::Drop : Fault::None;
+  };
+  CHECK(Test.run({"publish", "--timeout=300", "--base=1", Test.sample(3)}) ==
+        ExitCode::UnknownOutcome);
+  CHECK(Test.run({"publish", "--timeout=300", "--base=1", Test.sample(3)}) ==
+        ExitCode::Unavailable);
+}
