--- a/cmake/BuckthorndeckPackage.cmake
+++ b/cmake/BuckthorndeckPackage.cmake
@@ -1,5 +1,5 @@
 find_package(Threads REQUIRED)
-find_package(Boost 1.81 REQUIRED COMPONENTS system)
+find_package(Boost 1.81 REQUIRED COMPONENTS system filesystem)
 find_package(nlohmann_json REQUIRED)
 find_package(prometheus-cpp REQUIRED CONFIG)
 find_package(PkgConfig REQUIRED)
--- a/packages/faults/src/buckthorndeck/faults/Traffic.cpp
+++ b/packages/faults/src/buckthorndeck/faults/Traffic.cpp
@@ -1,9 +1,12 @@
 #include "buckthorndeck/faults/Traffic.h"
 
 #include "buckthorndeck/base/Hash.h"
+#include "buckthorndeck/base/Random.h"
 #include "buckthorndeck/faults/Site.h"
 #include "buckthorndeck/standins/GeneratedBody.h"
 
+#include <algorithm>
+
 namespace buckthorndeck::faults {
 
 namespace {
