--- /dev/null
+++ b/packages/config/src/buckthorndeck/config/internal/Kinds.h
@@ -0,0 +1,37 @@
+#ifndef BUCKTHORNDECK_CONFIG_INTERNAL_KINDS_H
+#define BUCKTHORNDECK_CONFIG_INTERNAL_KINDS_H
+
+#include "buckthorndeck/config/Objects.h"
+
+namespace buckthorndeck::config {
+
+//! How a kind is called in messages and in files.
+struct KindName {
+  const char *Singular;
+  const char *Plural;
+};
+
+//! Calls Visit(KindName, map in First, map in Second) for every kind, in a
+//! fixed order.
+template <typename FirstSet, typename SecondSet, typename Visitor>
+void forEachKindPair(FirstSet &First, SecondSet &Second, Visitor &&Visit) {
+  Visit(KindName{"place", "places"}, First.Places, Second.Places);
+  Visit(KindName{"service", "services"}, First.Services, Second.Services);
+  Visit(KindName{"backend_server", "backend_servers"}, First.BackendServers,
+        Second.BackendServers);
+  Visit(KindName{"rule", "rules"}, First.Rules, Second.Rules);
+  Visit(KindName{"entry_host_drain", "entry_host_drains"},
+        First.EntryHostDrains, Second.EntryHostDrains);
+}
+
+//! Calls Visit(KindName, map) for every kind, in the same order.
+template <typename Set, typename Visitor>
+void forEachKind(Set &Objects, Visitor &&Visit) {
+  forEachKindPair(
+      Objects, Objects,
+      [&](const KindName &Kind, auto &Map, auto &) { Visit(Kind, Map); });
+}
+
+} // namespace buckthorndeck::config
+
+#endif // BUCKTHORNDECK_CONFIG_INTERNAL_KINDS_H
