Test membership under a driven clock and shorten wrong suspicions

The tests run whole fleets in memory on one virtual clock: merge rules, loss, partitions, frozen and replaced processes, regions that are cut off, and the byte bounds of one node among 3, 9, 80 and 1,200 fake peers.

Hosts that hear of a suspicion from others often miss the refutation within 3 s. They now wait twice as long, and the host that missed the probe asks the suspect member directly once per period.

A page of the member table is no longer crowded out by news in the same message.

--- a/packages/membership/src/buckthorndeck/membership/MemberTable.cpp
+++ b/packages/membership/src/buckthorndeck/membership/MemberTable.cpp
@@ -128,6 +128,7 @@
     Entry.StateSince = Now;
   Entry.Info = Claim;
   Entry.Info.Version = Version;
+  Entry.SuspectedHere = false;
   if (Forward == Spread::Yes)
     queue(Table, Entry, Now);
   return MergeResult::Changed;
@@ -151,7 +152,10 @@
   if (Claim.State != MemberState::Alive && Claim.State != MemberState::Leaving)
     return false;
   Claim.State = MemberState::Suspect;
-  return merge(Table, Claim, Now) == MergeResult::Changed;
+  if (merge(Table, Claim, Now) != MergeResult::Changed)
+    return false;
+  Found->second.SuspectedHere = true;
+  return true;
 }
 
 std::vector<Member> expireSuspicions(MemberTable &Table, TimePoint Now,
@@ -159,7 +163,7 @@
   std::vector<Member> Expired;
   for (auto &[Name, Entry] : Table.Others) {
     if (Entry.Info.State != MemberState::Suspect ||
-        Now - Entry.StateSince < Timeout)
+        Now - Entry.StateSince < (Entry.SuspectedHere ? Timeout : 2 * Timeout))
       continue;
     Entry.Info.State = MemberState::Dead;
     Entry.StateSince = Now;
--- a/packages/membership/src/buckthorndeck/membership/MemberTable.h
+++ b/packages/membership/src/buckthorndeck/membership/MemberTable.h
@@ -16,8 +16,9 @@
 //! A member with what this host needs to keep it up to date.
 struct MemberEntry {
   Member Info;
-  TimePoint StateSince; //!< When State last changed here.
-  TimePoint LastQueued; //!< When news of it was last queued for sending.
+  TimePoint StateSince;       //!< When State last changed here.
+  TimePoint LastQueued;       //!< When news of it was last queued for sending.
+  bool SuspectedHere = false; //!< This host itself missed it.
 };
 
 //! Everything one host knows about the fleet.
@@ -63,7 +64,13 @@
 bool suspect(MemberTable &Table, const EntryHostName &Name, Incarnation Start,
              TimePoint Now);
 
-//! Declares members dead that have been suspect for Timeout. Returns them.
+/**
+ * Declares members dead that have been suspect for Timeout. Returns them.
+ *
+ * Members that others suspect get twice the time: the host that missed them
+ * asks them directly and spreads their death, while a refutation reaches this
+ * host only by chance.
+ */
 std::vector<Member> expireSuspicions(MemberTable &Table, TimePoint Now,
                                      Milliseconds Timeout);
 
--- a/packages/membership/src/buckthorndeck/membership/Membership.cpp
+++ b/packages/membership/src/buckthorndeck/membership/Membership.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <bit>
+#include <set>
 
 namespace buckthorndeck::membership {
 
@@ -96,6 +97,9 @@
                          .Number = Number,
                          .Updates = updatesFor(Receiver),
                          .Page = std::move(Page)};
+    // News must not crowd out the page, or the reader makes no progress.
+    if (Content.Page && Content.Updates.size() > 1)
+      Content.Updates.resize(1);
     send(std::move(Content), Address);
   }
 
@@ -321,6 +325,23 @@
       askForPage(Seeds[Index - Dead.size()]);
   }
 
+  //! Tells members that this host suspects about it until they refute or die.
+  //! Without this a lost datagram more often leads to a wrong death, because
+  //! the news reaches the suspect member through others only by chance.
+  void confrontSuspects() {
+    std::erase_if(OwnSuspects, [&](const EntryHostName &Name) {
+      auto Found = Table.Others.find(Name);
+      if (Found == Table.Others.end() ||
+          Found->second.Info.State != MemberState::Suspect)
+        return true;
+      const Member &Info = Found->second.Info;
+      Heartbeat Content{
+          .From = Table.Self, .Number = ++LastNumber, .Updates = {Info}};
+      send(std::move(Content), Info.PeerAddress);
+      return false;
+    });
+  }
+
   std::vector<std::uint64_t> startProbes() {
     std::vector<std::uint64_t> Numbers;
     const auto Start = [&](const std::optional<Member> &Target) {
@@ -361,6 +382,7 @@
       if (!Judge || !Missed ||
           !suspect(Table, Target.Name, Target.Start, now()))
         continue;
+      OwnSuspects.insert(Target.Name);
       const Member Info = Table.Others.at(Target.Name).Info;
       logChange(Info);
       changed(Info);
@@ -397,6 +419,7 @@
       Self->PageNumbers.clear();
       forgetGone(Self->Table, Self->now(), Self->Options.Retention);
       const std::vector<std::uint64_t> Numbers = Self->startProbes();
+      Self->confrontSuspects();
       Self->makeContact();
       Self->requestPage();
       bool OnTime = co_await sleepUntil(Self, Start + Self->Options.AckTimeout);
@@ -434,6 +457,7 @@
   MembershipCounters Counters;
   std::vector<UdpEndpoint> AddedSeeds;
   std::map<std::uint64_t, Probe> Probes;
+  std::set<EntryHostName> OwnSuspects; //!< Suspected by this host itself.
   std::uint64_t LastNumber = 0;
   unsigned ProbesForOthers = 0;
   std::uint64_t Periods = 0;
--- a/packages/membership/src/buckthorndeck/membership/TimeSource.cpp
+++ b/packages/membership/src/buckthorndeck/membership/TimeSource.cpp
@@ -1,5 +1,7 @@
 #include "buckthorndeck/membership/TimeSource.h"
 
+#include "buckthorndeck/net/Notifier.h"
+
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
@@ -14,11 +16,16 @@
   asio::steady_timer Timer(co_await asio::this_coro::executor, Deadline);
   co_await Timer.async_wait(asio::as_tuple(asio::use_awaitable));
 }
+
+Task<> waitUntil(std::shared_ptr<Notifier> Wake, TimePoint Deadline) {
+  co_await Wake->waitUntil(Deadline);
+}
 } // namespace
 
 TimeSource systemTime() {
   return TimeSource{.Now = [] { return Clock::now(); },
-                    .SleepUntil = sleepUntil};
+                    .SleepUntil = sleepUntil,
+                    .WaitUntil = waitUntil};
 }
 
 } // namespace buckthorndeck
--- a/packages/membership/src/buckthorndeck/membership/TimeSource.h
+++ b/packages/membership/src/buckthorndeck/membership/TimeSource.h
@@ -4,9 +4,12 @@
 #include "buckthorndeck/net/Task.h"
 
 #include <functional>
+#include <memory>
 
 namespace buckthorndeck {
 
+class Notifier;
+
 /**
  * The clock that a periodic task reads and waits on.
  *
@@ -17,6 +20,8 @@
   std::function<TimePoint()> Now;
   //! Returns once Now() is at or after the given time.
   std::function<Task<>(TimePoint)> SleepUntil;
+  //! The same, but a notification ends the wait. It may also end early.
+  std::function<Task<>(std::shared_ptr<Notifier>, TimePoint)> WaitUntil;
 };
 
 //! The monotonic clock of the process.
--- /dev/null
+++ b/packages/membership/tests/FakePeers.h
@@ -0,0 +1,141 @@
+#ifndef BUCKTHORNDECK_MEMBERSHIP_TESTS_FAKEPEERS_H
+#define BUCKTHORNDECK_MEMBERSHIP_TESTS_FAKEPEERS_H
+
+#include "Fleet.h"
+
+#include "buckthorndeck/membership/Heartbeat.h"
+#include "buckthorndeck/membership/MemberTable.h"
+
+#include <cmath>
+
+namespace buckthorndeck::membership {
+
+/**
+ * One real Membership among fake peers.
+ *
+ * The peers answer it and send it what a fleet of their number would: about
+ * one heartbeat per second, and heartbeat requests for dead members.
+ */
+class FakePeers {
+public:
+  FakePeers(unsigned Hosts, std::uint64_t Seed) : Random(Seed) {
+    initLogging({.Threshold = LogLevel::Error, .Program = "test"});
+    Truth.Self = makeMember(0);
+    for (unsigned I = 1; I < Hosts; ++I)
+      merge(Truth, makeMember(I), Time.now(), Spread::No);
+    MembershipOptions Options{.Self = makeMember(0),
+                              .Seeds = {addressOf(1)},
+                              .RandomSeed = Random(),
+                              .Time = Time.source()};
+    Node = std::make_unique<Membership>(
+        Time.Context.get_executor(), std::move(Options),
+        [this](Bytes Payload, const UdpEndpoint &To) { answer(Payload, To); });
+    spawn(Time.Context.get_executor(), "membership", Node->run());
+  }
+  ~FakePeers() {
+    Node.reset();
+    Time.settle();
+  }
+
+  //! Lets one second pass, with the traffic of the peers spread over it.
+  void second() {
+    const std::size_t Live = Truth.Others.size() - Silent.size();
+    const double Others = static_cast<double>(Truth.Others.size());
+    const unsigned Beats = draw(static_cast<double>(Live) / Others);
+    const unsigned Requests =
+        draw(3.0 * static_cast<double>(Silent.size()) / Others);
+    for (unsigned I = 0; I < Beats; ++I)
+      Time.after(Milliseconds(randomBelow(Random, 1000)), [this] {
+        toNode(Heartbeat{
+            .From = randomLive(), .Number = ++Number, .Updates = news()});
+      });
+    for (unsigned I = 0; I < Requests; ++I)
+      Time.after(Milliseconds(randomBelow(Random, 1000)), [this] {
+        if (!Silent.empty())
+          toNode(HeartbeatRequest{.From = randomLive(),
+                                  .Number = ++Number,
+                                  .Target =
+                                      Truth.Others.at(*Silent.begin()).Info});
+      });
+    Time.advance(Milliseconds(1000));
+  }
+
+  //! Total bytes in both directions.
+  std::uint64_t bytes() const {
+    return Node->counters().BytesSent + Node->counters().BytesReceived;
+  }
+
+  VirtualTime Time;
+  RandomEngine Random;
+  MemberTable Truth;                         //!< What the peers know.
+  std::set<EntryHostName> Silent;            //!< Peers that have failed.
+  std::function<std::vector<Member>()> News; //!< Updates on peers' messages.
+  std::size_t LongestMessage = 0;            //!< Sent by the node.
+  std::size_t MostUpdates = 0;
+  std::unique_ptr<Membership> Node;
+
+private:
+  unsigned draw(double Mean) {
+    return std::poisson_distribution<unsigned>(Mean)(Random);
+  }
+
+  std::vector<Member> news() { return News ? News() : std::vector<Member>(); }
+
+  Member randomLive() {
+    auto Found = Truth.Others.begin();
+    do
+      Found = std::next(Truth.Others.begin(),
+                        randomBelow(Random, Truth.Others.size()));
+    while (Silent.contains(Found->first));
+    return Found->second.Info;
+  }
+
+  void toNode(Message Content) {
+    const Bytes Encoded = encode(Content);
+    Node->handle(
+        *wire::decodeEnvelope(Encoded, "test", "peer"),
+        std::visit([](const auto &M) { return M.From.PeerAddress; }, Content));
+  }
+
+  void answer(const Bytes &Payload, const UdpEndpoint &To) {
+    LongestMessage = std::max(LongestMessage, Payload.size());
+    const Message Sent =
+        *decode(*wire::decodeEnvelope(Payload, "test", "node"), "node");
+    if (const auto *Ack = std::get_if<HeartbeatAck>(&Sent))
+      MostUpdates = std::max(MostUpdates, Ack->Updates.size());
+    const unsigned Index = To.address().to_v4().to_uint() - 0x0a000001;
+    const EntryHostName Name = makeMember(Index).Name;
+    auto Receiver = Truth.Others.find(Name);
+    if (Receiver == Truth.Others.end() || Silent.contains(Name))
+      return;
+    const Member From = Receiver->second.Info;
+    HeartbeatAck Reply{.From = From};
+    if (const auto *Beat = std::get_if<Heartbeat>(&Sent)) {
+      MostUpdates = std::max(MostUpdates, Beat->Updates.size());
+      Reply.Number = Beat->Number;
+      if (Beat->PageAfter) {
+        Reply.Page = MemberPage{.Members = membersAfter(Truth, Beat->From.Name,
+                                                        *Beat->PageAfter,
+                                                        MaxPageMembers + 1)};
+        Reply.Page->Last = Reply.Page->Members.size() <= MaxPageMembers;
+      } else {
+        Reply.Updates = news();
+      }
+    } else if (const auto *Asked = std::get_if<HeartbeatRequest>(&Sent)) {
+      Reply.Number = Asked->Number;
+      Reply.Report =
+          ProbeReport{.Subject = Asked->Target.Name,
+                      .Reached = !Silent.contains(Asked->Target.Name)};
+    } else {
+      return;
+    }
+    Time.after(Milliseconds(2),
+               [this, Reply = std::move(Reply)] { toNode(Reply); });
+  }
+
+  std::uint64_t Number = 0;
+};
+
+} // namespace buckthorndeck::membership
+
+#endif // BUCKTHORNDECK_MEMBERSHIP_TESTS_FAKEPEERS_H
--- a/packages/membership/tests/Fleet.h
+++ b/packages/membership/tests/Fleet.h
@@ -102,6 +102,10 @@
   std::set<unsigned> Replaced;
   std::map<UdpEndpoint, std::shared_ptr<Membership>> Hosts;
 
+  void inject(const UdpEndpoint &From, const UdpEndpoint &To, Bytes Payload) {
+    deliver(From, To, std::move(Payload));
+  }
+
 private:
   void deliver(const UdpEndpoint &From, const UdpEndpoint &To, Bytes Payload) {
     if (randomUnit(Random) < Loss || (Passes && !Passes(From, To)))
