--- a/packages/membership/tests/VirtualTime.h
+++ b/packages/membership/tests/VirtualTime.h
@@ -22,16 +22,20 @@
     return TimeSource{
         .Now = [this] { return Current; },
         .SleepUntil =
-            [this](TimePoint Deadline) { return sleepUntil(this, Deadline); }};
+            [this](TimePoint Deadline) { return sleepUntil(this, Deadline); },
+        .WaitUntil =
+            [this](std::shared_ptr<Notifier> Wake, TimePoint Deadline) {
+              return waitUntil(this, std::move(Wake), Deadline);
+            }};
   }
 
   //! Runs everything that is due, in order, and stops the clock Step later.
   void advance(Milliseconds Step) {
     const TimePoint End = Current + Step;
     settle();
-    while (!Sleepers.empty() && Sleepers.begin()->first <= End) {
+    while (!Sleepers.empty() && Sleepers.begin()->first.first <= End) {
       auto First = Sleepers.begin();
-      Current = std::max(Current, First->first);
+      Current = std::max(Current, First->first.first);
       std::shared_ptr<Notifier> Sleeper = First->second;
       Sleepers.erase(First);
       Sleeper->notifyAll();
@@ -60,8 +64,11 @@
                           TimePoint Deadline) {
     if (Deadline <= Self->Current)
       co_return;
-    Self->Sleepers.emplace(Deadline, Wake);
+    const std::pair Key(Deadline, ++Self->LastSleeper);
+    Self->Sleepers.emplace(Key, Wake);
     co_await Wake->wait();
+    // A notification may have ended the wait before its time.
+    Self->Sleepers.erase(Key);
   }
 
   static Task<> sleepUntil(VirtualTime *Self, TimePoint Deadline) {
@@ -77,7 +84,10 @@
   }
 
   TimePoint Current{std::chrono::hours(1)};
-  std::multimap<TimePoint, std::shared_ptr<Notifier>> Sleepers;
+  //! By deadline and then in the order in which the waits began.
+  std::map<std::pair<TimePoint, std::uint64_t>, std::shared_ptr<Notifier>>
+      Sleepers;
+  std::uint64_t LastSleeper = 0;
 };
 
 } // namespace buckthorndeck
