--- /dev/null
+++ b/packages/sync/tests/VersionHistoryTests.cpp
@@ -0,0 +1,177 @@
+#include "SampleVersions.h"
+
+#include <catch2/catch.hpp>
+
+using namespace buckthorndeck;
+using namespace buckthorndeck::sync;
+
+namespace {
+
+//! A host that went through every version from First to Last.
+VersionHistory historyOf(unsigned First, unsigned Last) {
+  VersionHistory History;
+  for (unsigned Version = First; Version <= Last; ++Version)
+    REQUIRE(advance(History, ConfigVersion(Version), digestAt(Version),
+                    setAt(Version)));
+  return History;
+}
+
+SyncAnswer ask(const VersionHistory &Server, const VersionHistory &Reader) {
+  return answerRequest(Server, SyncRequest{.Version = Reader.Version,
+                                           .Objects = Reader.Objects});
+}
+
+} // namespace
+
+TEST_CASE("Only a higher version with the right digest comes into force",
+          "[history]") {
+  // Guards against stale reads, delayed messages and damaged sets.
+  struct Row {
+    unsigned Version;
+    unsigned DigestOf;
+    unsigned SetOf;
+    bool Applied;
+    ErrorCode Code;
+  };
+  const Row Rows[] = {{6, 6, 6, true, {}},
+                      {9, 9, 9, true, {}},
+                      {5, 5, 5, false, ErrorCode::Refused},
+                      {5, 6, 6, false, ErrorCode::Refused},
+                      {4, 4, 4, false, ErrorCode::Refused},
+                      {0, 0, 0, false, ErrorCode::Refused},
+                      {6, 7, 6, false, ErrorCode::Invalid}};
+  for (const Row &Case : Rows) {
+    CAPTURE(&Case - Rows);
+    VersionHistory History = historyOf(1, 5);
+    const auto Result = advance(History, ConfigVersion(Case.Version),
+                                digestAt(Case.DigestOf), setAt(Case.SetOf));
+    CHECK(Result.has_value() == Case.Applied);
+    if (!Result)
+      CHECK(Result.error().Code == Case.Code);
+    const unsigned InForce = Case.Applied ? Case.Version : 5;
+    CHECK(History.Version == ConfigVersion(InForce));
+    CHECK(*History.Set == setAt(InForce));
+  }
+}
+
+TEST_CASE("A host that is behind gets deltas or the whole set", "[history]") {
+  // Guards against deltas that lead from a set that the reader does not have.
+  struct Row {
+    unsigned First, Last; //!< Versions of the reader; 0 to 0 for none.
+    SyncAnswerKind Kind;
+  };
+  const VersionHistory Server = historyOf(1, 40);
+  const Row Rows[] = {
+      {1, 39, SyncAnswerKind::Delta},  {1, 8, SyncAnswerKind::Delta},
+      {20, 20, SyncAnswerKind::Delta}, {1, 7, SyncAnswerKind::Full},
+      {0, 0, SyncAnswerKind::Full},    {1, 40, SyncAnswerKind::Current},
+      {1, 41, SyncAnswerKind::Current}};
+  for (const Row &Case : Rows) {
+    CAPTURE(Case.First, Case.Last);
+    VersionHistory Reader =
+        Case.Last ? historyOf(Case.First, Case.Last) : VersionHistory();
+    const SyncAnswer Answer = ask(Server, Reader);
+    REQUIRE(Answer.Kind == Case.Kind);
+    if (Case.Kind == SyncAnswerKind::Current)
+      continue;
+    REQUIRE(applyAnswer(Reader, Answer, "peer"));
+    CHECK(Reader.Version == Server.Version);
+    CHECK(*Reader.Set == *Server.Set);
+    // The reader can now serve others that are as far behind as it was.
+    CHECK(Reader.Deltas.size() <= MaxDeltas);
+    VersionHistory Last = historyOf(1, 39);
+    REQUIRE(applyAnswer(Last, ask(Reader, Last), "peer"));
+    CHECK(*Last.Set == *Server.Set);
+  }
+  // The same version number with another set needs the whole set.
+  CHECK(answerRequest(Server,
+                      {.Version = ConfigVersion(39), .Objects = digestAt(3)})
+            .Kind == SyncAnswerKind::Full);
+}
+
+TEST_CASE("Answers that do not fit change nothing", "[history]") {
+  // Guards against crossed answers: the set in force moved on, or came from
+  // elsewhere, between request and answer.
+  const VersionHistory Server = historyOf(1, 9);
+  const VersionHistory Asked = historyOf(1, 5);
+  const SyncAnswer Answer = ask(Server, Asked);
+  REQUIRE(Answer.Kind == SyncAnswerKind::Delta);
+
+  VersionHistory MovedOn = historyOf(1, 7);
+  const auto Crossed = applyAnswer(MovedOn, Answer, "peer");
+  REQUIRE_FALSE(Crossed);
+  CHECK(Crossed.error().Code == ErrorCode::Conflict);
+  CHECK(MovedOn.Version == ConfigVersion(7));
+
+  VersionHistory Ahead = historyOf(1, 9);
+  CHECK(applyAnswer(Ahead, Answer, "peer").error().Code == ErrorCode::Refused);
+
+  for (const auto &Damage : std::vector<std::function<void(SyncAnswer &)>>{
+           [](SyncAnswer &A) { A.Objects = digestAt(3); },
+           [](SyncAnswer &A) { A.Version = ConfigVersion(10); },
+           [](SyncAnswer &A) { A.Body.pop_back(); },
+           [](SyncAnswer &A) { A.Body = encodeCbor(Json::array({1})); },
+           [](SyncAnswer &A) { A.Body = encodeCbor(Json::array()); },
+           [](SyncAnswer &A) { A.Body = encodeCbor(Json::object()); },
+           [](SyncAnswer &A) { A.Kind = SyncAnswerKind::Full; },
+           [](SyncAnswer &A) { A.Kind = SyncAnswerKind::Busy; }}) {
+    VersionHistory Reader = historyOf(1, 5);
+    SyncAnswer Damaged = Answer;
+    Damage(Damaged);
+    CHECK_FALSE(applyAnswer(Reader, Damaged, "peer"));
+    CHECK(Reader.Version == ConfigVersion(5));
+    CHECK(*Reader.Set == setAt(5));
+  }
+}
+
+TEST_CASE("Pages of an answer are checked and put together", "[history]") {
+  // Guards against mixed answers and unbounded memory.
+  const SyncAnswer Answer{.Kind = SyncAnswerKind::Full,
+                          .Version = ConfigVersion(3),
+                          .Objects = Digest(4),
+                          .Body = Bytes(10, 7)};
+  const ByteView Body(Answer.Body);
+  SyncAnswerReader Reader;
+  CHECK(*Reader.add(encodePage(Answer, Body.first(6), false), "p") == false);
+  CHECK(*Reader.add(encodePage(Answer, Body.last(4), true), "p") == true);
+  CHECK(Reader.take().Body == Answer.Body);
+
+  const Json Good = encodePage(Answer, Body, true);
+  for (const auto &[Field, Value] :
+       std::vector<std::pair<const char *, Json>>{{"type", "sync_other"},
+                                                  {"type", 3},
+                                                  {"version", -1},
+                                                  {"digest", "x"},
+                                                  {"last", 1},
+                                                  {"body", "text"}}) {
+    CAPTURE(Field);
+    Json Bad = Good;
+    Bad[Field] = Value;
+    CHECK_FALSE(SyncAnswerReader().add(Bad, "p"));
+    Bad.erase(Field);
+    CHECK_FALSE(SyncAnswerReader().add(Bad, "p"));
+  }
+  CHECK_FALSE(SyncAnswerReader().add(Json(3), "p"));
+  SyncAnswerReader Mixed;
+  REQUIRE(Mixed.add(encodePage(Answer, Body.first(6), false), "p"));
+  SyncAnswer Other = Answer;
+  Other.Version = ConfigVersion(4);
+  CHECK_FALSE(Mixed.add(encodePage(Other, Body.last(4), true), "p"));
+  SyncAnswerReader Full;
+  const Bytes Large(MaxSyncBodyBytes, 1);
+  REQUIRE(Full.add(encodePage(Answer, Large, false), "p"));
+  CHECK_FALSE(Full.add(encodePage(Answer, Body.first(1), false), "p"));
+}
+
+TEST_CASE("Small answers go out at once and large ones at the budget's rate",
+          "[history]") {
+  // Guards against a set of 2 MB that uses the control budget of hours.
+  Pace Limit{PaceOptions{}};
+  const TimePoint Start{std::chrono::hours(1)};
+  CHECK(takeBytes(Limit, 64 * 1024, Start) == Milliseconds(0));
+  CHECK(takeBytes(Limit, 3000, Start) == Milliseconds(1000));
+  CHECK(takeBytes(Limit, 3000, Start + Milliseconds(1000)) ==
+        Milliseconds(1000));
+  CHECK(takeBytes(Limit, 3000, Start + Milliseconds(60'000)) ==
+        Milliseconds(0));
+}
