--- a/packages/standins/src/buckthorndeck/standins/BackendServer.cpp
+++ b/packages/standins/src/buckthorndeck/standins/BackendServer.cpp
@@ -3,7 +3,6 @@
 #include "buckthorndeck/base/Hash.h"
 #include "buckthorndeck/base/Json.h"
 #include "buckthorndeck/base/Log.h"
-#include "buckthorndeck/base/Random.h"
 #include "buckthorndeck/net/HttpServer.h"
 #include "buckthorndeck/net/Notifier.h"
 #include "buckthorndeck/net/WebSocket.h"
@@ -33,22 +32,6 @@
       std::chrono::system_clock::now().time_since_epoch());
 }
 
-double drawMs(const ServiceTime &Time, RandomEngine &Engine) {
-  switch (Time.Distribution) {
-  case TimeDistribution::Fixed:
-    return Time.MeanMs;
-  case TimeDistribution::Exponential:
-    return -Time.MeanMs * std::log1p(-randomUnit(Engine));
-  case TimeDistribution::LogNormal: {
-    // Shifted so that the mean is MeanMs for any spread.
-    std::normal_distribution<double> Normal(-Time.Sigma * Time.Sigma / 2,
-                                            Time.Sigma);
-    return Time.MeanMs * std::exp(Normal(Engine));
-  }
-  }
-  return Time.MeanMs;
-}
-
 //! A run or a subscription of one connection.
 struct Activity {
   explicit Activity(const Executor &Where) : Wake(Where) {}
--- a/packages/standins/src/buckthorndeck/standins/BackendServer.h
+++ b/packages/standins/src/buckthorndeck/standins/BackendServer.h
@@ -6,6 +6,7 @@
 #include "buckthorndeck/base/Ids.h"
 #include "buckthorndeck/net/Endpoint.h"
 #include "buckthorndeck/net/Task.h"
+#include "buckthorndeck/standins/ServiceTime.h"
 
 #include <cstdint>
 #include <map>
@@ -16,19 +17,6 @@
 
 namespace buckthorndeck::standins {
 
-//! How service times are drawn.
-enum class TimeDistribution : std::uint8_t {
-  Fixed,       //!< Always the mean.
-  Exponential, //!< Many short and few long times.
-  LogNormal,   //!< Like Exponential, with a spread that can be set.
-};
-
-struct ServiceTime {
-  TimeDistribution Distribution = TimeDistribution::Fixed;
-  double MeanMs = 0;
-  double Sigma = 1; //!< Spread of LogNormal.
-};
-
 //! What a run of an operation answers.
 enum class AnswerBody : std::uint8_t {
   Echo,      //!< The body of the request.
