--- a/packages/standins/src/buckthorndeck/standins/Caller.cpp
+++ b/packages/standins/src/buckthorndeck/standins/Caller.cpp
@@ -16,9 +16,6 @@
 
 namespace {
 
-//! Time without a welcome until `open` is sent again; doubles up to the limit.
-constexpr Milliseconds FirstOpenRetry{100};
-constexpr Milliseconds MaxOpenRetry{1000};
 //! An `open` that nobody waits for is given up after this long.
 constexpr Milliseconds UnwantedOpenLimit{10'000};
 //! First pause before a request is sent again as a new one; doubles.
@@ -179,7 +176,7 @@
   static Task<> open(std::shared_ptr<State> Self) {
     const std::uint64_t Before = Self->TokenSerial;
     const TimePoint Begin = Clock::now();
-    Milliseconds Pause = FirstOpenRetry;
+    Milliseconds Pause = Self->Options.OpenRetry;
     while (!Self->Stopped && Self->TokenSerial == Before &&
            (Self->TokenWaiters > 0 || Self->Subscription->Status.Open ||
             Clock::now() - Begin < UnwantedOpenLimit)) {
@@ -187,7 +184,7 @@
           wire::Open{.Flow = Self->Flow, .Service = Self->Options.Service});
       co_await Self->TokenChanged.waitUntil(Clock::now() +
                                             Self->jittered(Pause));
-      Pause = std::min(Pause * 2, MaxOpenRetry);
+      Pause = std::min(Pause * 2, Self->Options.MaxRetry);
     }
     Self->Opening = false;
   }
--- a/packages/standins/src/buckthorndeck/standins/Caller.h
+++ b/packages/standins/src/buckthorndeck/standins/Caller.h
@@ -23,6 +23,9 @@
   ServiceAddress Service;
   std::optional<FlowId> Flow; //!< Drawn from RandomSeed if not set.
   std::uint64_t RandomSeed = 1;
+  //! Time without a welcome until `open` is sent again; doubles up to
+  //! MaxRetry.
+  Milliseconds OpenRetry{100};
   //! Time without an answer until the second attempt; doubles up to MaxRetry.
   Milliseconds FirstRetry{400};
   Milliseconds MaxRetry{2000};
--- a/packages/standins/src/buckthorndeck/standins/CallerSettings.cpp
+++ b/packages/standins/src/buckthorndeck/standins/CallerSettings.cpp
@@ -76,6 +76,7 @@
     "properties": {
       "flow": {"type": "integer", "minimum": 0},
       "random_seed": {"type": "integer", "minimum": 0},
+      "open_retry_ms": {"type": "integer", "minimum": 1},
       "first_retry_ms": {"type": "integer", "minimum": 1},
       "max_retry_ms": {"type": "integer", "minimum": 1},
       "answer_grace_ms": {"type": "integer", "minimum": 0},
@@ -117,6 +118,7 @@
                            ? Settings["random_seed"].get<std::uint64_t>()
                            : (std::uint64_t{std::random_device{}()} << 32) ^
                                  std::random_device{}();
+  ReadMs("open_retry_ms", Options.OpenRetry);
   ReadMs("first_retry_ms", Options.FirstRetry);
   ReadMs("max_retry_ms", Options.MaxRetry);
   ReadMs("answer_grace_ms", Options.AnswerGrace);
--- a/packages/standins/tests/Harness.h
+++ b/packages/standins/tests/Harness.h
@@ -1,6 +1,7 @@
 #ifndef BUCKTHORNDECK_STANDINS_TESTS_HARNESS_H
 #define BUCKTHORNDECK_STANDINS_TESTS_HARNESS_H
 
+#include "buckthorndeck/base/Log.h"
 #include "buckthorndeck/net/UdpSocket.h"
 #include "buckthorndeck/net/WebSocket.h"
 #include "buckthorndeck/wire/Body.h"
@@ -19,6 +20,10 @@
 //! One io_context, run as far as a test needs.
 class World {
 public:
+  World() {
+    initLogging({.Threshold = LogLevel::Error, .Program = "standins_tests"});
+  }
+
   Executor where() { return Context.get_executor(); }
 
   //! Runs Work to its end. The limit only stops a test that would hang.
