Bound what the CBOR decoder accepts and test the base package

Cause: nlohmann-json's CBOR decoder recurses once per array, map or chunked string, so that a message of a few MB over WebSocket overflowed the stack. It also throws on an array or map length beyond max_size() although exceptions are switched off, which ended the receiving task.

Change: decodeCbor checks heads, stated lengths and depth iteratively before it calls the library. It refuses tags, lengths that are not stated up front, and more than 32 levels. A percent sign in the program's name is escaped in the log layout, where it was a conversion.

Ruled out: a SAX handler that counts levels does not see chunked strings.

--- a/packages/base/src/buckthorndeck/base/Json.h
+++ b/packages/base/src/buckthorndeck/base/Json.h
@@ -10,7 +10,12 @@
 
 using Json = nlohmann::json;
 
-//! Decodes one CBOR item that fills View. Trailing bytes are an error.
+//! Levels of arrays and maps in one CBOR item. Messages nest less than half as
+//! deep.
+inline constexpr std::size_t MaxCborDepth = 32;
+
+//! Decodes one CBOR item that fills View. Trailing bytes, tags, lengths that
+//! are not stated up front and more than MaxCborDepth levels are errors.
 Expected<Json> decodeCbor(ByteView View, const std::string &Step,
                           const std::string &Peer);
 
--- a/packages/base/src/buckthorndeck/base/Log.cpp
+++ b/packages/base/src/buckthorndeck/base/Log.cpp
@@ -63,6 +63,14 @@
   Out += '"';
 }
 
+//! Text for a layout pattern, where a percent sign starts a conversion.
+std::string escapePattern(const std::string &Text) {
+  std::string Out;
+  for (char C : Text)
+    Out += C == '%' ? "%%" : std::string(1, C);
+  return Out;
+}
+
 log4cplus::Logger rootLogger() { return log4cplus::Logger::getRoot(); }
 
 log4cplus::Initializer &library() {
@@ -86,9 +94,9 @@
 
 void initLogging(const LogOptions &Options) {
   library();
+  const std::string Program = formatFields({{"program", Options.Program}});
   const std::string Pattern = "time=%D{%Y-%m-%dT%H:%M:%S.%q}Z level=%p " +
-                              formatFields({{"program", Options.Program}}) +
-                              " %m%n";
+                              escapePattern(Program) + " %m%n";
   log4cplus::SharedAppenderPtr Appender(new log4cplus::ConsoleAppender(
       /*logToStdErr=*/true, /*immediateFlush=*/true));
   Appender->setLayout(std::make_unique<log4cplus::PatternLayout>(Pattern));
