--- a/packages/wire/src/buckthorndeck/wire/Body.cpp
+++ b/packages/wire/src/buckthorndeck/wire/Body.cpp
@@ -36,6 +36,8 @@
 }
 
 Expected<void> BodyAssembler::add(const BodyPart &Part) {
+  if (Part.Part >= Part.Parts)
+    return invalid("the part's index is not below the number of parts");
   if (PartCount == 0) {
     PartCount = Part.Parts;
     TotalBytes = Part.TotalBytes;
@@ -46,23 +48,24 @@
     return invalid("the part belongs to another body");
   if (Complete)
     return {};
-  if (Part.Part >= Parts.size())
-    Parts.resize(Part.Part + 1);
-  std::optional<Bytes> &Slot = Parts[Part.Part];
-  if (Slot)
+  if (const auto Known = Parts.find(Part.Part); Known != Parts.end()) {
+    if (Known->second != Part.Body)
+      return invalid("the part differs from its first copy");
     return {};
-  Slot = Part.Body;
-  ++Received;
+  }
+  if (Part.Body.size() > TotalBytes - ReceivedBytes)
+    return invalid("the parts are longer than the announced length");
+  Parts.emplace(Part.Part, Part.Body);
   ReceivedBytes += Part.Body.size();
-  if (Received < PartCount)
+  if (Parts.size() < PartCount)
     return {};
   return finish();
 }
 
 Expected<void> BodyAssembler::finish() {
   Whole.reserve(ReceivedBytes);
-  for (const std::optional<Bytes> &Slot : Parts)
-    Whole.insert(Whole.end(), Slot->begin(), Slot->end());
+  for (const auto &[Index, Slice] : Parts)
+    Whole.insert(Whole.end(), Slice.begin(), Slice.end());
   Parts.clear();
   if (Whole.size() != TotalBytes || digestOf(Whole) != BodyDigest) {
     *this = BodyAssembler{};
--- a/packages/wire/src/buckthorndeck/wire/Body.h
+++ b/packages/wire/src/buckthorndeck/wire/Body.h
@@ -3,7 +3,7 @@
 
 #include "buckthorndeck/wire/Datagram.h"
 
-#include <optional>
+#include <map>
 #include <vector>
 
 namespace buckthorndeck::wire {
@@ -18,8 +18,9 @@
  */
 class BodyAssembler {
 public:
-  //! Adds a part. Invalid if it contradicts the parts before it, or if the
-  //! whole body does not match its announced length and digest.
+  //! Adds a part. Invalid, and ignored, if it contradicts the parts before it.
+  //! Invalid if the whole body does not match its announced length and digest;
+  //! the assembler is then empty, so that a retransmission can succeed.
   Expected<void> add(const BodyPart &Part);
 
   bool complete() const { return Complete; }
@@ -30,9 +31,8 @@
 private:
   Expected<void> finish();
 
-  std::vector<std::optional<Bytes>> Parts;
+  std::map<std::uint32_t, Bytes> Parts; //!< By index, until complete.
   std::uint32_t PartCount = 0;
-  std::uint32_t Received = 0;
   std::uint32_t TotalBytes = 0;
   Digest BodyDigest;
   std::size_t ReceivedBytes = 0;
--- a/packages/wire/src/buckthorndeck/wire/Datagram.h
+++ b/packages/wire/src/buckthorndeck/wire/Datagram.h
@@ -13,8 +13,12 @@
 namespace buckthorndeck::wire {
 
 inline constexpr unsigned ProtocolVersion = 1;
-//! Fits an Ethernet frame with room for a relay envelope.
+//! Longest datagram between callers and hosts. MaxPeerDatagramBytes leaves room
+//! for the relay envelope around it.
 inline constexpr std::size_t MaxDatagramBytes = 1400;
+//! Longest datagram between hosts, MAC included: a 1,500-byte Ethernet frame
+//! without its IPv4 (20) and UDP (8) headers.
+inline constexpr std::size_t MaxPeerDatagramBytes = 1472;
 inline constexpr std::size_t MaxPartBytes = 1000;
 inline constexpr std::uint32_t MaxParts = 1100;
 inline constexpr std::size_t MaxBodyBytes = 1024 * 1024;
@@ -22,6 +26,9 @@
 inline constexpr std::size_t MaxTokenBytes = 160;
 inline constexpr std::size_t MaxReasonBytes = 64;
 inline constexpr std::size_t MaxAddressBytes = 21;
+//! Limits on names keep the longest token within MaxTokenBytes.
+inline constexpr std::size_t MaxHostNameBytes = 32;
+inline constexpr std::size_t MaxObjectNameBytes = 56;
 inline constexpr std::chrono::milliseconds MaxDeadline{120'000};
 
 //! What became of a request, as told to its caller.
--- a/packages/wire/src/buckthorndeck/wire/Envelope.cpp
+++ b/packages/wire/src/buckthorndeck/wire/Envelope.cpp
@@ -1,7 +1,5 @@
 #include "buckthorndeck/wire/Envelope.h"
 
-#include "buckthorndeck/wire/Datagram.h"
-
 namespace buckthorndeck::wire {
 
 namespace {
@@ -13,22 +11,24 @@
 }
 
 Expected<Envelope> decodeEnvelope(ByteView Payload, const std::string &Step,
-                                  const std::string &Peer) {
+                                  const std::string &Peer,
+                                  std::size_t MaxBytes) {
   const auto Failed = [&](const std::string &Message) {
     return Unexpected(Error{.Code = ErrorCode::Invalid,
                             .Step = Step,
                             .Peer = Peer,
                             .Message = Message});
   };
-  if (Payload.size() > MaxDatagramBytes)
-    return Failed("the datagram is longer than " +
-                  std::to_string(MaxDatagramBytes) + " bytes");
+  if (Payload.size() > MaxBytes)
+    return Failed("the datagram is longer than " + std::to_string(MaxBytes) +
+                  " bytes");
   auto Item = decodeCbor(Payload, Step, Peer);
   if (!Item)
     return Unexpected(Item.error());
   if (!Item->is_array() || Item->size() != 3)
     return Failed("not an array of version, type and fields");
-  if ((*Item)[0] != ProtocolVersion)
+  const Json &Version = (*Item)[0];
+  if (!Version.is_number_unsigned() || Version != ProtocolVersion)
     return Failed("unknown protocol version");
   const Json &Type = (*Item)[1];
   if (!Type.is_number_unsigned() || Type.get<std::uint64_t>() > MaxType)
--- a/packages/wire/src/buckthorndeck/wire/Envelope.h
+++ b/packages/wire/src/buckthorndeck/wire/Envelope.h
@@ -2,6 +2,7 @@
 #define BUCKTHORNDECK_WIRE_ENVELOPE_H
 
 #include "buckthorndeck/base/Json.h"
+#include "buckthorndeck/wire/Datagram.h"
 
 namespace buckthorndeck::wire {
 
@@ -13,10 +14,11 @@
 
 Bytes encodeEnvelope(unsigned Type, Json Fields);
 
-//! Refuses datagrams over MaxDatagramBytes before decoding them, and unknown
-//! protocol versions.
+//! Refuses payloads over MaxBytes before decoding them, and unknown protocol
+//! versions. Host-to-host payloads may have MaxPeerDatagramBytes.
 Expected<Envelope> decodeEnvelope(ByteView Payload, const std::string &Step,
-                                  const std::string &Peer);
+                                  const std::string &Peer,
+                                  std::size_t MaxBytes = MaxDatagramBytes);
 
 } // namespace buckthorndeck::wire
 
--- a/packages/wire/src/buckthorndeck/wire/ServerMessage.cpp
+++ b/packages/wire/src/buckthorndeck/wire/ServerMessage.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-constexpr std::size_t MaxNameBytes = 64;
+constexpr std::size_t MaxTypeBytes = 16;
 constexpr std::uint64_t MaxSlots = 1024;
 constexpr auto LastRefusal = static_cast<std::uint64_t>(Refusal::WrongService);
 
@@ -77,7 +77,7 @@
 std::uint64_t readId(FieldReader &Reader) { return Reader.number("id"); }
 
 ObjectName readName(FieldReader &Reader, const char *Field) {
-  return ObjectName(Reader.text(Field, MaxNameBytes, 1));
+  return ObjectName(Reader.text(Field, MaxObjectNameBytes, 1));
 }
 
 Refusal readRefusal(FieldReader &Reader) {
@@ -163,7 +163,7 @@
 Expected<ServerMessage> decodeServerMessage(const Json &Fields,
                                             const std::string &Peer) {
   FieldReader Reader(Fields, "decode server message", Peer);
-  const std::string Type = Reader.text("type", MaxNameBytes);
+  const std::string Type = Reader.text("type", MaxTypeBytes);
   ServerMessage Message = readMessage(Type, Reader);
   if (Reader.failed())
     return Unexpected(Reader.error());
@@ -173,7 +173,7 @@
 Expected<ServerCommand> decodeServerCommand(const Json &Fields,
                                             const std::string &Peer) {
   FieldReader Reader(Fields, "decode command", Peer);
-  const std::string Type = Reader.text("type", MaxNameBytes);
+  const std::string Type = Reader.text("type", MaxTypeBytes);
   ServerCommand Command = readCommand(Type, Reader);
   if (Reader.failed())
     return Unexpected(Reader.error());
--- a/packages/wire/src/buckthorndeck/wire/Token.cpp
+++ b/packages/wire/src/buckthorndeck/wire/Token.cpp
@@ -5,13 +5,6 @@
 
 namespace buckthorndeck::wire {
 
-namespace {
-
-constexpr std::size_t MaxHostNameBytes = 32;
-constexpr std::size_t MaxServerNameBytes = 56;
-
-} // namespace
-
 Bytes mintToken(const MacKey &Key, const Token &Contents,
                 const ServiceAddress &Service) {
   const Json Fields = {
@@ -49,7 +42,7 @@
   Token Contents{.Home = EntryHostName(Reader.text("h", MaxHostNameBytes, 1)),
                  .HomeIncarnation = Incarnation(Reader.number("i")),
                  .Flow = FlowId(Reader.number("f")),
-                 .Server = ObjectName(Reader.text("s", MaxServerNameBytes)),
+                 .Server = ObjectName(Reader.text("s", MaxObjectNameBytes)),
                  .ServerGeneration = Generation(Reader.number("g")),
                  .MintedAt =
                      std::chrono::milliseconds(Reader.number("m", INT64_MAX))};
--- a/packages/wire/src/buckthorndeck/wire/Token.h
+++ b/packages/wire/src/buckthorndeck/wire/Token.h
@@ -23,7 +23,8 @@
   std::chrono::milliseconds MintedAt{0}; //!< On the home's monotonic clock.
 };
 
-//! Encodes and signs. The result has at most MaxTokenBytes.
+//! Encodes and signs. The result has at most MaxTokenBytes if the names are
+//! within MaxHostNameBytes and MaxObjectNameBytes.
 Bytes mintToken(const MacKey &Key, const Token &Contents,
                 const ServiceAddress &Service);
 
