--- a/packages/net/src/buckthorndeck/net/Endpoint.cpp
+++ b/packages/net/src/buckthorndeck/net/Endpoint.cpp
@@ -24,8 +24,10 @@
   std::uint16_t Port = 0;
   const auto [End, PortCode] =
       std::from_chars(PortText.data(), PortText.data() + PortText.size(), Port);
-  if (Code || PortCode != std::errc() ||
-      End != PortText.data() + PortText.size())
+  // The text is also compared with what it was parsed to, because the parser of
+  // the C library stops at a NUL byte.
+  if (Code || Address.to_string() != Text.substr(0, Colon) ||
+      PortCode != std::errc() || End != PortText.data() + PortText.size())
     return Failure;
   return Endpoint(Address, Port);
 }
--- a/packages/net/src/buckthorndeck/net/HttpClient.cpp
+++ b/packages/net/src/buckthorndeck/net/HttpClient.cpp
@@ -27,6 +27,11 @@
                             .Message = Message});
   };
 
+  // The library throws on a method that it does not know.
+  const http::verb Method = http::string_to_verb(Request.Method);
+  if (Method == http::verb::unknown)
+    co_return Failed(ErrorCode::Invalid, "unknown method");
+
   beast::tcp_stream Stream(co_await asio::this_coro::executor);
   Stream.expires_after(Timeout);
   auto [ConnectCode] =
@@ -34,8 +39,7 @@
   if (ConnectCode)
     co_return Failed(ErrorCode::Unavailable, ConnectCode.message());
 
-  http::request<http::string_body> Message(http::string_to_verb(Request.Method),
-                                           Request.Target, 11);
+  http::request<http::string_body> Message(Method, Request.Target, 11);
   Message.set(http::field::host, toString(Peer));
   Message.set(http::field::content_type, "application/json");
   Message.body() = std::move(Request.Body);
--- a/packages/net/src/buckthorndeck/net/HttpClient.h
+++ b/packages/net/src/buckthorndeck/net/HttpClient.h
@@ -12,7 +12,8 @@
  * Sends one HTTP/1.1 request over a new connection and reads the response.
  *
  * Unavailable means that the connection was never made, so the request had no
- * effect; Timeout covers everything after that, when it may have had one.
+ * effect; Invalid that the method is unknown; Timeout covers everything after
+ * that, when it may have had one.
  */
 Task<Expected<HttpResponse>> callHttp(TcpEndpoint Peer, HttpRequest Request,
                                       Milliseconds Timeout);
--- a/packages/net/src/buckthorndeck/net/Task.cpp
+++ b/packages/net/src/buckthorndeck/net/Task.cpp
@@ -22,12 +22,16 @@
                  [Name](const std::exception_ptr &Failure) {
                    if (!Failure)
                      return;
+                   std::string Reason = "unknown exception";
                    try {
                      std::rethrow_exception(Failure);
                    } catch (const std::exception &Caught) {
-                     log(LogLevel::Error, "task_failed",
-                         {{"task", Name}, {"error", Caught.what()}});
+                     Reason = Caught.what();
+                   } catch (...) {
+                     // Not a standard exception: it has no text.
                    }
+                   log(LogLevel::Error, "task_failed",
+                       {{"task", Name}, {"error", Reason}});
                  });
 }
 
--- a/packages/net/src/buckthorndeck/net/UdpSocket.cpp
+++ b/packages/net/src/buckthorndeck/net/UdpSocket.cpp
@@ -41,6 +41,9 @@
 }
 
 Task<Expected<ReceivedDatagram>> UdpSocket::receive() {
+  // The socket may be destroyed while this waits, so that nothing after the
+  // wait but a received datagram may use it.
+  const std::string LocalName = toString(Local);
   UdpEndpoint Sender;
   while (Socket.is_open()) {
     auto [Code, Length] = co_await Socket.async_receive_from(
@@ -56,7 +59,7 @@
   }
   co_return Unexpected(Error{.Code = ErrorCode::Unavailable,
                              .Step = "receive datagram",
-                             .Peer = toString(Local),
+                             .Peer = LocalName,
                              .Message = "socket closed"});
 }
 
--- a/packages/net/src/buckthorndeck/net/WebSocket.cpp
+++ b/packages/net/src/buckthorndeck/net/WebSocket.cpp
@@ -48,6 +48,11 @@
     Closed = true;
     Queue.clear();
     QueuedBytes = 0;
+    // Without this the idle timer keeps the connection for one more period.
+    Stream.set_option(websocket::stream_base::timeout{
+        .handshake_timeout = websocket::stream_base::none(),
+        .idle_timeout = websocket::stream_base::none(),
+        .keep_alive_pings = false});
     beast::get_lowest_layer(Stream).close();
     QueueChanged.notifyAll();
   }
@@ -131,6 +136,11 @@
     Self->close();
     co_return Unexpected(Self->failure("receive message", Code));
   }
+  if (!Self->Stream.got_binary())
+    co_return Unexpected(Error{.Code = ErrorCode::Invalid,
+                               .Step = "receive message",
+                               .Peer = Self->PeerName,
+                               .Message = "a text message"});
   const auto Data = Self->Received.cdata();
   co_return decodeCbor(
       ByteView(static_cast<const std::uint8_t *>(Data.data()), Data.size()),
--- a/packages/net/src/buckthorndeck/net/WebSocket.h
+++ b/packages/net/src/buckthorndeck/net/WebSocket.h
@@ -39,8 +39,9 @@
                                         WebSocketOptions Options = {});
   ~WebSocket();
 
-  //! Next message. Unavailable once the connection has ended; Invalid for a
-  //! message that is not one CBOR item, after which the connection goes on.
+  //! Next message. Unavailable once the connection has ended, or Timeout if
+  //! it ended by the idle timeout; Invalid for a text message or one that is
+  //! not one CBOR item, after which the connection goes on.
   Task<Expected<Json>> receive();
 
   //! Queues Message. Returns false, having sent nothing, when the connection
