--- a/packages/entryhost/src/buckthorndeck/entryhost/EntryHost.cpp
+++ b/packages/entryhost/src/buckthorndeck/entryhost/EntryHost.cpp
@@ -108,7 +108,8 @@
   void apply(const config::ObjectSet &Objects, ConfigVersion Version);
   Task<> receiveFromCallers();
   Task<> receiveFromPeers();
-  void handlePeerDatagram(ByteView Envelope, const UdpEndpoint &Sender);
+  void handlePeerMessage(const wire::Envelope &Message,
+                         const ReceivedDatagram &From);
   void handleRelay(const wire::Envelope &Message, const UdpEndpoint &Sender);
   Task<> serveSync(WebSocket::Pointer Link);
   Task<> watchStore();
@@ -213,29 +214,23 @@
     const auto Received = co_await Bound.Peer.receive();
     if (!Received)
       co_return;
-    const auto Opened =
-        unseal(PeerKey, Received->Payload, toString(Received->Sender));
-    if (Opened)
-      handlePeerDatagram(*Opened, Received->Sender);
+    const auto Message = wire::unsealEnvelope(PeerKey, Received->Payload,
+                                              toString(Received->Sender));
+    if (Message)
+      handlePeerMessage(*Message, *Received);
     else
-      Bound.Meter->countRefused("bad_mac");
+      Bound.Meter->countRefused("bad_peer_datagram");
   }
 }
 
-void EntryHost::Parts::handlePeerDatagram(ByteView Payload,
-                                          const UdpEndpoint &Sender) {
-  const auto Message =
-      wire::decodeEnvelope(Payload, "decode peer datagram", toString(Sender));
-  if (!Message) {
-    Bound.Meter->countRefused("malformed_peer_message");
+void EntryHost::Parts::handlePeerMessage(const wire::Envelope &Message,
+                                         const ReceivedDatagram &From) {
+  if (Message.Type == wire::RelayType) {
+    handleRelay(Message, From.Sender);
     return;
   }
-  if (Message->Type == wire::RelayType) {
-    handleRelay(*Message, Sender);
-    return;
-  }
-  ControlBytesReceived += Payload.size() + MacBytes;
-  Members.handle(*Message, Sender);
+  ControlBytesReceived += From.Payload.size();
+  Members.handle(Message, From.Sender);
 }
 
 void EntryHost::Parts::handleRelay(const wire::Envelope &Message,
@@ -249,7 +244,7 @@
     return;
   }
   Bound.Meter->countRelay("received");
-  Router.handle(Relayed->Datagram, *Caller,
+  Router.handle(Relayed->Payload, *Caller,
                 Relayed->Takeover ? Arrival::Takeover : Arrival::Relayed);
 }
 
--- a/packages/entryhost/src/buckthorndeck/entryhost/PeerLink.cpp
+++ b/packages/entryhost/src/buckthorndeck/entryhost/PeerLink.cpp
@@ -15,9 +15,9 @@
                      ByteView Datagram, bool Takeover) {
   const wire::Relay Message{.Caller = toString(Caller),
                             .Takeover = Takeover,
-                            .Datagram =
+                            .Payload =
                                 Bytes(Datagram.begin(), Datagram.end())};
-  Socket.send(seal(Key, wire::encode(Message)), Peer);
+  Socket.send(wire::encodeRelay(Key, Message), Peer);
 }
 
 } // namespace buckthorndeck::entryhost
--- a/packages/wire/src/buckthorndeck/wire/Envelope.h
+++ b/packages/wire/src/buckthorndeck/wire/Envelope.h
@@ -2,6 +2,8 @@
 #define BUCKTHORNDECK_WIRE_ENVELOPE_H
 
 #include "buckthorndeck/base/Json.h"
+#include "buckthorndeck/base/Mac.h"
+#include "buckthorndeck/wire/Datagram.h"
 
 namespace buckthorndeck::wire {
 
@@ -13,9 +15,14 @@
 
 Bytes encodeEnvelope(unsigned Type, Json Fields);
 
-//! Refuses datagrams over MaxDatagramBytes before decoding them, and unknown
-//! protocol versions.
+//! Refuses payloads over MaxBytes before decoding them, and unknown protocol
+//! versions. Host-to-host payloads may have MaxPeerDatagramBytes.
 Expected<Envelope> decodeEnvelope(ByteView Payload, const std::string &Step,
+                                  const std::string &Peer,
+                                  std::size_t MaxBytes = MaxDatagramBytes);
+
+//! Opens a host-to-host datagram: checks the MAC before decoding anything.
+Expected<Envelope> unsealEnvelope(const MacKey &Key, ByteView Sealed,
                                   const std::string &Peer);
 
 } // namespace buckthorndeck::wire
