--- a/packages/config/src/buckthorndeck/config/StoreClient.cpp
+++ b/packages/config/src/buckthorndeck/config/StoreClient.cpp
@@ -98,7 +98,7 @@
 
 } // namespace
 
-StoreClient::StoreClient(StoreClientOptions Options)
+StoreClient::StoreClient(const StoreClientOptions &Options)
     : Options(Options), Budget(Options.Retries), Breaker(Options.Breaker),
       Engine(Options.RandomSeed) {}
 
--- a/packages/config/src/buckthorndeck/config/StoreClient.h
+++ b/packages/config/src/buckthorndeck/config/StoreClient.h
@@ -63,7 +63,7 @@
  */
 class StoreClient {
 public:
-  explicit StoreClient(StoreClientOptions Options);
+  explicit StoreClient(const StoreClientOptions &Options);
 
   //! Value of Key; no value if the key does not exist.
   Task<Expected<std::optional<StoredValue>>> get(std::string Key,
