--- a/packages/membership/tests/FakePeers.h
+++ b/packages/membership/tests/FakePeers.h
@@ -6,10 +6,29 @@
 #include "buckthorndeck/membership/Heartbeat.h"
 #include "buckthorndeck/membership/MemberTable.h"
 
-#include <cmath>
+#include <time.h>
 
 namespace buckthorndeck::membership {
 
+//! Processor time of this thread.
+inline std::int64_t processorNanoseconds() {
+  timespec Now{};
+  clock_gettime(CLOCK_THREAD_CPUTIME_ID, &Now);
+  return Now.tv_sec * 1'000'000'000LL + Now.tv_nsec;
+}
+
+//! Adds the processor time of a scope to a total.
+class Meter {
+public:
+  explicit Meter(std::int64_t &Total)
+      : Total(Total), Begin(processorNanoseconds()) {}
+  ~Meter() { Total += processorNanoseconds() - Begin; }
+
+private:
+  std::int64_t &Total;
+  std::int64_t Begin;
+};
+
 /**
  * One real Membership among fake peers.
  *
@@ -29,7 +48,10 @@
                               .Time = Time.source()};
     Node = std::make_unique<Membership>(
         Time.Context.get_executor(), std::move(Options),
-        [this](Bytes Payload, const UdpEndpoint &To) { answer(Payload, To); });
+        [this](Bytes Payload, const UdpEndpoint &To) {
+          const Meter Running(OwnNanoseconds);
+          answer(Payload, To);
+        });
     spawn(Time.Context.get_executor(), "membership", Node->run());
   }
   ~FakePeers() {
@@ -39,27 +61,48 @@
 
   //! Lets one second pass, with the traffic of the peers spread over it.
   void second() {
-    const std::size_t Live = Truth.Others.size() - Silent.size();
-    const double Others = static_cast<double>(Truth.Others.size());
-    const unsigned Beats = draw(static_cast<double>(Live) / Others);
-    const unsigned Requests =
-        draw(3.0 * static_cast<double>(Silent.size()) / Others);
+    unsigned Live = 0;
+    unsigned Missed = 0;
+    for (const auto &[Name, Entry] : Truth.Others) {
+      Live += isLive(Entry.Info);
+      Missed += isReachable(Entry.Info) && !isLive(Entry.Info);
+    }
+    const double Others = Live + Missed;
+    const unsigned Beats = draw(Live / Others);
+    const unsigned Requests = draw(3.0 * Missed / Others);
     for (unsigned I = 0; I < Beats; ++I)
       Time.after(Milliseconds(randomBelow(Random, 1000)), [this] {
-        toNode(Heartbeat{
-            .From = randomLive(), .Number = ++Number, .Updates = news()});
+        toNode([this] {
+          return Heartbeat{
+              .From = randomLive(), .Number = ++Number, .Updates = news()};
+        });
       });
     for (unsigned I = 0; I < Requests; ++I)
       Time.after(Milliseconds(randomBelow(Random, 1000)), [this] {
-        if (!Silent.empty())
-          toNode(HeartbeatRequest{.From = randomLive(),
+        toNode([this] {
+          return HeartbeatRequest{.From = randomLive(),
                                   .Number = ++Number,
                                   .Target =
-                                      Truth.Others.at(*Silent.begin()).Info});
+                                      Truth.Others.at(*Silent.begin()).Info};
+        });
       });
     Time.advance(Milliseconds(1000));
   }
 
+  //! A peer that answers.
+  bool isLive(const Member &Peer) const {
+    return isReachable(Peer) && !Silent.contains(Peer.Name);
+  }
+
+  Member randomLive() {
+    auto Found = Truth.Others.begin();
+    do
+      Found = std::next(Truth.Others.begin(),
+                        randomBelow(Random, Truth.Others.size()));
+    while (!isLive(Found->second.Info));
+    return Found->second.Info;
+  }
+
   //! Total bytes in both directions.
   std::uint64_t bytes() const {
     return Node->counters().BytesSent + Node->counters().BytesReceived;
@@ -72,6 +115,7 @@
   std::function<std::vector<Member>()> News; //!< Updates on peers' messages.
   std::size_t LongestMessage = 0;            //!< Sent by the node.
   std::size_t MostUpdates = 0;
+  std::int64_t OwnNanoseconds = 0; //!< Processor time of the peers.
   std::unique_ptr<Membership> Node;
 
 private:
@@ -81,20 +125,20 @@
 
   std::vector<Member> news() { return News ? News() : std::vector<Member>(); }
 
-  Member randomLive() {
-    auto Found = Truth.Others.begin();
-    do
-      Found = std::next(Truth.Others.begin(),
-                        randomBelow(Random, Truth.Others.size()));
-    while (Silent.contains(Found->first));
-    return Found->second.Info;
-  }
-
-  void toNode(Message Content) {
-    const Bytes Encoded = encode(Content);
-    Node->handle(
-        *wire::decodeEnvelope(Encoded, "test", "peer"),
-        std::visit([](const auto &M) { return M.From.PeerAddress; }, Content));
+  //! Sends what Make returns.
+  template <typename Callable> void toNode(Callable Make) {
+    if (!Node)
+      return;
+    Bytes Encoded;
+    UdpEndpoint From;
+    {
+      const Meter Running(OwnNanoseconds);
+      Message Content = Make();
+      Encoded = encode(Content);
+      From =
+          std::visit([](const auto &M) { return M.From.PeerAddress; }, Content);
+    }
+    Node->handle(*wire::decodeEnvelope(Encoded, "test", "peer"), From);
   }
 
   void answer(const Bytes &Payload, const UdpEndpoint &To) {
@@ -106,7 +150,7 @@
     const unsigned Index = To.address().to_v4().to_uint() - 0x0a000001;
     const EntryHostName Name = makeMember(Index).Name;
     auto Receiver = Truth.Others.find(Name);
-    if (Receiver == Truth.Others.end() || Silent.contains(Name))
+    if (Receiver == Truth.Others.end() || !isLive(Receiver->second.Info))
       return;
     const Member From = Receiver->second.Info;
     HeartbeatAck Reply{.From = From};
@@ -129,8 +173,9 @@
     } else {
       return;
     }
-    Time.after(Milliseconds(2),
-               [this, Reply = std::move(Reply)] { toNode(Reply); });
+    Time.after(Milliseconds(2), [this, Reply = std::move(Reply)] {
+      toNode([&Reply] { return Reply; });
+    });
   }
 
   std::uint64_t Number = 0;
