Satisfy the linter in membership

clang-tidy reported copies, narrowing conversions and vectors that grow in loops in the member table and its tests. No change of behaviour; the tests of membership and sync pass.

--- a/packages/membership/src/buckthorndeck/membership/MemberTable.cpp
+++ b/packages/membership/src/buckthorndeck/membership/MemberTable.cpp
@@ -217,6 +217,7 @@
   std::sample(Candidates.begin(), Candidates.end(), std::back_inserter(Chosen),
               Count, Random);
   std::vector<Member> Result;
+  Result.reserve(Chosen.size());
   for (const Member *Helper : Chosen)
     Result.push_back(*Helper);
   return Result;
@@ -228,13 +229,16 @@
 
 std::vector<Member> chooseUpdates(const MemberTable &Table, std::size_t Count) {
   std::vector<std::pair<unsigned, const EntryHostName *>> Order;
+  Order.reserve(Table.Pending.size());
   for (const auto &[Name, Sent] : Table.Pending)
     Order.emplace_back(Sent, &Name);
   const std::size_t Chosen = std::min(Count, Order.size());
-  std::partial_sort(Order.begin(), Order.begin() + Chosen, Order.end(),
-                    [](const auto &Left, const auto &Right) {
-                      return Left.first < Right.first;
-                    });
+  std::partial_sort(
+      Order.begin(),
+      std::next(Order.begin(), static_cast<std::ptrdiff_t>(Chosen)),
+      Order.end(), [](const auto &Left, const auto &Right) {
+        return Left.first < Right.first;
+      });
   std::vector<Member> Result;
   for (std::size_t I = 0; I < Chosen; ++I) {
     const EntryHostName &Name = *Order[I].second;
--- a/packages/membership/src/buckthorndeck/membership/Watchers.cpp
+++ b/packages/membership/src/buckthorndeck/membership/Watchers.cpp
@@ -20,6 +20,7 @@
   std::sort(Scores.begin(), Scores.end(), std::greater<>());
   Scores.resize(std::min(Scores.size(), Count));
   std::vector<EntryHostName> Watchers;
+  Watchers.reserve(Scores.size());
   for (auto &[Score, Name] : Scores)
     Watchers.push_back(std::move(Name));
   return Watchers;
--- a/packages/membership/tests/BoundsTests.cpp
+++ b/packages/membership/tests/BoundsTests.cpp
@@ -55,9 +55,7 @@
     Peers.News = [&] {
       std::vector<Member> Result;
       for (std::size_t I = 0; I < MaxUpdates; ++I) {
-        auto Entry =
-            std::next(Peers.Truth.Others.begin(),
-                      randomBelow(Peers.Random, Peers.Truth.Others.size()));
+        auto Entry = Peers.randomEntry();
         ++Entry->second.Info.Refutation;
         Result.push_back(Entry->second.Info);
       }
--- a/packages/membership/tests/FakePeers.h
+++ b/packages/membership/tests/FakePeers.h
@@ -48,7 +48,7 @@
                               .Time = Time.source()};
     Node = std::make_unique<Membership>(
         Time.Context.get_executor(), std::move(Options),
-        [this](Bytes Payload, const UdpEndpoint &To) {
+        [this](const Bytes &Payload, const UdpEndpoint &To) {
           const Meter Running(OwnNanoseconds);
           answer(Payload, To);
         });
@@ -94,11 +94,15 @@
     return isReachable(Peer) && !Silent.contains(Peer.Name);
   }
 
+  std::map<EntryHostName, MemberEntry>::iterator randomEntry() {
+    const std::uint64_t Index = randomBelow(Random, Truth.Others.size());
+    return std::next(Truth.Others.begin(), static_cast<std::ptrdiff_t>(Index));
+  }
+
   Member randomLive() {
     auto Found = Truth.Others.begin();
     do
-      Found = std::next(Truth.Others.begin(),
-                        randomBelow(Random, Truth.Others.size()));
+      Found = randomEntry();
     while (!isLive(Found->second.Info));
     return Found->second.Info;
   }
--- a/packages/membership/tests/Fleet.h
+++ b/packages/membership/tests/Fleet.h
@@ -42,7 +42,7 @@
   }
 
   Membership &start(unsigned Index, std::uint64_t Start = 1000,
-                    std::function<void(Member &)> Adjust = {}) {
+                    const std::function<void(Member &)> &Adjust = {}) {
     MembershipOptions Options{.Self = makeMember(Index, Start),
                               .Seeds = {addressOf(0), addressOf(1)},
                               .RandomSeed = Random(),
