Take the configuration through sync and stop on a declared drain

Cause: each host polled the platform by itself, so platform calls grew with the fleet, and a host that started during an outage had no configuration.

Change: ConfigSync supplies the configuration; the host list only supplies addresses to probe; a drain object that names the host starts its graceful stop; a newer process under the same name ends the older one.

--- a/packages/entryhost/src/buckthorndeck/entryhost/EntryHost.cpp
+++ b/packages/entryhost/src/buckthorndeck/entryhost/EntryHost.cpp
@@ -1,9 +1,7 @@
 #include "buckthorndeck/entryhost/EntryHost.h"
 
 #include "buckthorndeck/base/Log.h"
-#include "buckthorndeck/config/Manifest.h"
 #include "buckthorndeck/config/Objects.h"
-#include "buckthorndeck/config/PublishedReader.h"
 #include "buckthorndeck/config/StoreClient.h"
 #include "buckthorndeck/entryhost/FeedService.h"
 #include "buckthorndeck/entryhost/FlowRouter.h"
@@ -16,6 +14,7 @@
 #include "buckthorndeck/net/Notifier.h"
 #include "buckthorndeck/net/UdpSocket.h"
 #include "buckthorndeck/net/WebSocket.h"
+#include "buckthorndeck/sync/ConfigSync.h"
 #include "buckthorndeck/wire/Relay.h"
 
 #include <boost/asio/this_coro.hpp>
@@ -27,6 +26,8 @@
 namespace {
 
 constexpr Milliseconds HousekeepingPeriod{1'000};
+constexpr Milliseconds PlatformTimeout{5'000};
+constexpr Milliseconds FindPeersPeriod{10'000};
 //! Lets the last announcements and answers leave the socket.
 constexpr Milliseconds FlushDelay{200};
 
@@ -98,11 +99,36 @@
                 [this](const Bytes &Envelope, const UdpEndpoint &Peer) {
                   Peers.sendControl(Envelope, Peer);
                 }),
+        Store(storeOptions()),
+        Sync(Where, syncOptions(), peerCalls(), sync::platformCalls(Store)),
         Router(Context, Requests, Feeds, Members, Peers), Stopped(Where) {}
 
-  membership::MembershipOptions membershipOptions() const {
-    return {
-        .Self = Self, .Seeds = Options.Seeds, .RandomSeed = Options.RandomSeed};
+  membership::MembershipOptions membershipOptions() {
+    return {.Self = Self,
+            .Seeds = Options.Seeds,
+            .RandomSeed = Options.RandomSeed,
+            .OnChange =
+                [this](const membership::Member &) { Sync.membersChanged(); },
+            .OnReplaced = [this](Incarnation Newer) { replaced(Newer); }};
+  }
+
+  config::StoreClientOptions storeOptions() const {
+    return {.Address = Options.Platform, .RandomSeed = Options.RandomSeed};
+  }
+
+  sync::SyncOptions syncOptions() {
+    return {.RandomSeed = Options.RandomSeed,
+            .OnApplied = [this](const sync::VersionHistory &History) {
+              apply(*History.Set, History.Version);
+            }};
+  }
+
+  sync::PeerCalls peerCalls() {
+    return {.Members = [this] { return Members.members(); },
+            .Send =
+                [this](const Bytes &Envelope, const UdpEndpoint &Peer) {
+                  Peers.sendControl(Envelope, Peer);
+                }};
   }
 
   void apply(const config::ObjectSet &Objects, ConfigVersion Version);
@@ -112,7 +138,9 @@
                          const ReceivedDatagram &From);
   void handleRelay(const wire::Envelope &Message, const UdpEndpoint &Sender);
   Task<> serveSync(WebSocket::Pointer Link);
-  Task<> watchStore();
+  void replaced(Incarnation Newer);
+  Task<> findPeers();
+  Task<> stop();
   Task<> keepHouse();
   StatusReport status() const;
   void updateMetrics();
@@ -129,6 +157,8 @@
   RequestService Requests;
   FeedService Feeds;
   membership::Membership Members;
+  config::StoreClient Store;
+  sync::ConfigSync Sync;
   FlowRouter Router;
   Notifier Stopped;
   std::uint64_t ControlBytesReceived = 0;
@@ -153,7 +183,8 @@
   spawn(Host.Where, "membership", Host.Members.run());
   spawn(Host.Where, "peer_datagrams", Host.receiveFromPeers());
   spawn(Host.Where, "caller_datagrams", Host.receiveFromCallers());
-  spawn(Host.Where, "config_watch", Host.watchStore());
+  spawn(Host.Where, "config_sync", Host.Sync.run());
+  spawn(Host.Where, "find_peers", Host.findPeers());
   spawn(Host.Where, "housekeeping", Host.keepHouse());
   spawn(Host.Where, "sync_listener",
         Host.Bound.Sync.serve(
@@ -169,35 +200,43 @@
     co_await Host.Stopped.wait();
 }
 
-Task<> EntryHost::stop() {
-  Parts &Host = *Owned;
-  if (Host.Context.Leaving)
+Task<> EntryHost::stop() { co_await Owned->stop(); }
+
+Task<> EntryHost::Parts::stop() {
+  if (Context.Leaving)
     co_return;
-  Host.Context.Leaving = true;
-  Host.Members.leave();
-  log(LogLevel::Info, "leaving", {{"in_progress", Host.Requests.inProgress()}});
+  Context.Leaving = true;
+  Members.leave();
+  log(LogLevel::Info, "leaving", {{"in_progress", Requests.inProgress()}});
   // No token is minted any more, so after this time none can bring work.
-  const HostContext &Context = Host.Context;
   co_await sleepFor(Context.Limits.Lifetime + Context.Limits.Grace);
-  co_await Host.Requests.drained();
-  co_await Host.Servers.drained();
-  Host.Members.left();
+  co_await Requests.drained();
+  co_await Servers.drained();
+  Members.left();
   co_await sleepFor(FlushDelay);
   log(LogLevel::Info, "left");
-  Host.Done = true;
-  Host.Stopped.notifyAll();
+  Done = true;
+  Stopped.notifyAll();
+}
+
+//! Two processes under one name would both be taken for one home.
+void EntryHost::Parts::replaced(Incarnation Newer) {
+  log(LogLevel::Error, "replaced", {{"incarnation", Newer.value()}});
+  Done = true;
+  Stopped.notifyAll();
 }
 
 void EntryHost::Parts::apply(const config::ObjectSet &Objects,
                              ConfigVersion Version) {
-  if (Version <= Context.Version)
-    return;
   log(LogLevel::Info, "configuration_applied",
       {{"version", Version.value()}, {"before", Context.Version.value()}});
   Context.Version = Version;
   Context.Services = makeServiceTable(Objects);
   Servers.apply(Objects);
   Members.setVersion(Version);
+  for (const auto &[Name, Drain] : Objects.EntryHostDrains)
+    if (Drain.Host == Options.Name)
+      spawn(Where, "stop", stop());
 }
 
 Task<> EntryHost::Parts::receiveFromCallers() {
@@ -230,7 +269,10 @@
     return;
   }
   ControlBytesReceived += From.Payload.size();
-  Members.handle(Message, From.Sender);
+  if (Message.Type == wire::AnnounceType)
+    Sync.handleAnnounce(Message, From.Sender);
+  else
+    Members.handle(Message, From.Sender);
 }
 
 void EntryHost::Parts::handleRelay(const wire::Envelope &Message,
@@ -250,32 +292,29 @@
 
 Task<> EntryHost::Parts::serveSync(WebSocket::Pointer Link) {
   while (true) {
-    const auto Message = co_await Link->receive();
-    if (!Message)
+    auto Message = co_await Link->receive();
+    if (!Message || !Message->is_object())
       co_return;
-    if (Message->value("type", std::string()) == "status_request")
+    if (Message->value("type", Json()) == "status_request")
       Link->send(toJson(status()));
+    else
+      co_await Sync.serve(Link, std::move(*Message));
   }
 }
 
-Task<> EntryHost::Parts::watchStore() {
-  if (!Options.Platform)
-    co_return;
-  config::StoreClient Store(config::StoreClientOptions{
-      .Address = *Options.Platform, .RandomSeed = Options.RandomSeed});
-  std::uint64_t Revision = 0;
-  while (true) {
-    const TimePoint Deadline = Clock::now() + Milliseconds(5'000);
-    const auto Published =
-        co_await config::readPublished(Store, Deadline, Revision);
-    if (Published && Published->Content.Version > Context.Version)
-      apply(Published->Objects, Published->Content.Version);
-    if (Published)
-      Revision = Published->Revision;
-    const auto Changed = co_await Store.watch(config::ManifestKey, Revision,
-                                              Milliseconds(20'000));
-    if (!Changed)
-      co_await sleepFor(Milliseconds(500));
+//! Asks the platform for addresses to probe until a peer has answered.
+Task<> EntryHost::Parts::findPeers() {
+  while (!Done && Members.reachable().empty()) {
+    const TimePoint Deadline = Clock::now() + PlatformTimeout;
+    const auto Listed = co_await Store.hosts(Deadline);
+    std::vector<UdpEndpoint> Addresses;
+    if (Listed)
+      for (const config::PlatformHost &Host : *Listed)
+        if (const auto Address =
+                parseUdpEndpoint(Host.PeerAddress, "read host list"))
+          Addresses.push_back(*Address);
+    Members.addSeeds(Addresses);
+    co_await sleepFor(FindPeersPeriod);
   }
 }
 
--- a/packages/entryhost/src/buckthorndeck/entryhost/PeerLink.cpp
+++ b/packages/entryhost/src/buckthorndeck/entryhost/PeerLink.cpp
@@ -15,8 +15,7 @@
                      ByteView Datagram, bool Takeover) {
   const wire::Relay Message{.Caller = toString(Caller),
                             .Takeover = Takeover,
-                            .Payload =
-                                Bytes(Datagram.begin(), Datagram.end())};
+                            .Payload = Bytes(Datagram.begin(), Datagram.end())};
   Socket.send(wire::encodeRelay(Key, Message), Peer);
 }
 
--- a/packages/entryhost/src/buckthorndeck/entryhost/Settings.cpp
+++ b/packages/entryhost/src/buckthorndeck/entryhost/Settings.cpp
@@ -10,7 +10,8 @@
   "type": "object",
   "additionalProperties": false,
   "required": ["name", "region", "failure_domain", "caller_listen",
-               "peer_listen", "sync_listen", "metrics_listen", "fleet_key"],
+               "peer_listen", "sync_listen", "metrics_listen", "fleet_key",
+               "platform"],
   "properties": {
     "name": {"type": "string", "pattern": "^[a-z0-9][a-z0-9-]{0,31}$",
       "description": "name of this entry host, unique in the fleet"},
@@ -100,8 +101,6 @@
     return Document.value(Key, Default.get<T>());
   }
 
-  bool has(const char *Key) const { return Document.contains(Key); }
-
 private:
   template <typename T> T unwrap(const char *Key, const Expected<T> &Value) {
     if (Value)
@@ -135,8 +134,7 @@
   Result.SyncListen = Reader.tcp("sync_listen");
   Result.MetricsListen = Reader.tcp("metrics_listen");
   Result.FleetKey = parseMacKey(Reader.text("fleet_key")).value_or(MacKey{});
-  if (Reader.has("platform"))
-    Result.Platform = Reader.tcp("platform");
+  Result.Platform = Reader.tcp("platform");
   Result.Seeds = Reader.udpList("seeds");
   Result.LogThreshold = parseLogLevel(Reader.value<std::string>("log_level"));
   Result.TokenLifetime =
--- a/packages/entryhost/src/buckthorndeck/entryhost/Settings.h
+++ b/packages/entryhost/src/buckthorndeck/entryhost/Settings.h
@@ -9,7 +9,6 @@
 #include "buckthorndeck/net/Endpoint.h"
 #include "buckthorndeck/net/Task.h"
 
-#include <optional>
 #include <string>
 #include <vector>
 
@@ -25,8 +24,8 @@
   TcpEndpoint SyncListen;    //!< Configuration sync and status.
   TcpEndpoint MetricsListen; //!< Prometheus text format over HTTP.
   MacKey FleetKey;
-  std::optional<TcpEndpoint> Platform; //!< Key-value service.
-  std::vector<UdpEndpoint> Seeds;      //!< Peer addresses to join through.
+  TcpEndpoint Platform;           //!< Key-value service.
+  std::vector<UdpEndpoint> Seeds; //!< Peer addresses to join through.
   LogLevel LogThreshold = LogLevel::Info;
   Milliseconds TokenLifetime{15'000};
   std::uint32_t LedgerEntries = 200'000;
