--- a/packages/config/tests/FaultTests.cpp
+++ b/packages/config/tests/FaultTests.cpp
@@ -500,3 +500,24 @@
   CHECK(Test.read().Objects == sampleSet(3));
   Test.checkInvariants();
 }
+
+TEST_CASE("A publish whose first attempt may still land is not called "
+          "unpublished",
+          "[faults]") {
+  // Guards against a later refusal that hides the unknown first attempt.
+  Fixture Test;
+  REQUIRE(Test.publishNow(sampleSet(3), 0));
+  unsigned Swaps = 0;
+  Test.Store.Decide = [&](const HttpRequest &Request) {
+    if (!isManifestCall(Request, "PUT"))
+      return Fault::None;
+    return Swaps++ == 0 ? Fault::Drop : Fault::Overload;
+  };
+  StoreClientOptions Options = Test.Store.clientOptions();
+  Options.Retries.Max = 3;
+  StoreClient Client(Options);
+  const auto Outcome = Test.publishNow(Client, Test.request(sampleSet(4), 1));
+  CHECK(Swaps > 1);
+  REQUIRE_FALSE(Outcome);
+  CHECK(Outcome.error().Reason.Code == ErrorCode::Timeout);
+}
