Close gaps that taking mechanisms out of sync showed

Without the comparison with the announced digest, and without the platform call of a starting host, all tests passed. The first had no test with a set that is consistent in itself but was not published; the second isolated the other hosts, so that the host under test became a watcher. Both have a test now.

--- a/packages/sync/src/buckthorndeck/sync/ConfigSync.cpp
+++ b/packages/sync/src/buckthorndeck/sync/ConfigSync.cpp
@@ -78,7 +78,7 @@
     if (!this->Peers.Pull)
       this->Peers.Pull = [Limit = this->Options.PageTimeout](
                              TcpEndpoint Peer, SyncRequest Request) {
-        return pullFrom(Peer, Request, Limit);
+        return pullFrom(std::move(Peer), Request, Limit);
       };
   }
 
@@ -128,6 +128,7 @@
         {{"version", History.Version.value()},
          {"digest", config::formatDigest(History.Objects)},
          {"source", Source}});
+    NeedsFull = false;
     if (Options.OnApplied)
       Options.OnApplied(History);
     announce();
@@ -267,6 +268,7 @@
                         .Objects = Self->History.Objects};
     if (Self->NeedsFull)
       Request = SyncRequest{};
+    const ConfigVersion AskedWith = Self->History.Version;
     const std::string Peer = Source.Name.value();
     auto Answer = co_await Self->Peers.Pull(Source.SyncAddress, Request);
     if (Self->Stopped)
@@ -296,7 +298,10 @@
       co_return false;
     }
     const auto Result = applyAnswer(Self->History, *Answer, Peer);
-    Self->NeedsFull = !Result && Result.error().Code == ErrorCode::Conflict;
+    // Deltas also do not fit when the watcher task was faster; then the next
+    // ones will.
+    Self->NeedsFull = !Result && Result.error().Code == ErrorCode::Conflict &&
+                      Self->History.Version == AskedWith;
     if (!Result) {
       Self->pullFailed(Peer, Result.error());
       co_return false;
@@ -364,11 +369,14 @@
       SyncAnswer Answer;
       if (Self->Transfers < Self->Options.MaxTransfers)
         Answer = answerRequest(Self->History, *Request);
-      ++Self->Transfers;
-      auto Ended = gsl::finally([&] { --Self->Transfers; });
       Self->Counters.ServedBytes += Answer.Body.size();
-      const bool Sent = co_await sendAnswer(
-          Link, std::move(Answer), Self->Options.Pace, Self->Options.Time);
+      ++Self->Transfers;
+      bool Sent = false;
+      {
+        auto Ended = gsl::finally([&] { --Self->Transfers; });
+        Sent = co_await sendAnswer(Link, std::move(Answer), Self->Options.Pace,
+                                   Self->Options.Time);
+      }
       if (!Sent)
         co_return;
       auto Next = co_await Link->receive();
--- a/packages/sync/tests/ConfigSyncTests.cpp
+++ b/packages/sync/tests/ConfigSyncTests.cpp
@@ -61,7 +61,7 @@
                     Members[Index].PeerAddress);
             },
         .Pull =
-            [this, Index](TcpEndpoint To, SyncRequest Request) {
+            [this, Index](const TcpEndpoint &To, SyncRequest Request) {
               return pull(this, Index, To.address().to_v4().to_uint() - 100,
                           Request);
             }};
@@ -114,8 +114,10 @@
   bool PlatformUp = true;
   unsigned StaleReads = 0; //!< Reads that return an old version.
   Milliseconds ReadDelay{5};
-  std::set<unsigned> Isolated;   //!< Reach neither peers nor the platform.
+  std::set<unsigned> Isolated; //!< Reach neither peers nor the platform.
+  std::set<unsigned> WithoutPlatform;
   std::set<unsigned> WrongPeers; //!< Serve a set with a wrong digest.
+  std::set<unsigned> Forgers;    //!< Serve set 99 as version 2.
   bool AnnouncesOnly = false;    //!< Heartbeats do not show versions.
   std::vector<Member> Members;
   std::vector<unsigned> PlatformCallsOf;
@@ -149,6 +151,11 @@
     if (!Self->connected(From, To))
       co_return unavailable();
     SyncAnswer Answer = answerRequest(Self->Hosts[To]->history(), Request);
+    if (Self->Forgers.contains(To))
+      co_return SyncAnswer{.Kind = SyncAnswerKind::Full,
+                           .Version = ConfigVersion(2),
+                           .Objects = digestAt(99),
+                           .Body = encodeCbor(config::toJson(setAt(99)))};
     if (Self->WrongPeers.contains(To))
       Answer.Body = encodeCbor(config::toJson(setAt(99)));
     if (Self->WrongPeers.contains(To))
@@ -157,7 +164,8 @@
   }
 
   bool reachesPlatform(unsigned Index) const {
-    return PlatformUp && !Isolated.contains(Index);
+    return PlatformUp && !Isolated.contains(Index) &&
+           !WithoutPlatform.contains(Index);
   }
 
   static config::Manifest manifestAt(unsigned Version) {
@@ -274,9 +282,9 @@
     All.Published = 3;
     for (unsigned I = 0; I < 8; ++I)
       if (I != Index)
-        All.Isolated.insert(I);
-    // Its watchers are still members to it, but have no configuration.
+        All.WithoutPlatform.insert(I);
     CHECK(All.untilAllHave(3, {Index}) <= 8000);
+    CHECK(All.untilAllHave(3) <= 8000);
   }
 }
 
@@ -350,6 +358,26 @@
     CHECK(*Two.Hosts[Index]->history().Set == setAt(1));
 }
 
+TEST_CASE("An answer must have the digest of the announcement", "[sync]") {
+  // Guards against a set that is consistent in itself but was not published:
+  // announcements carry a MAC and answers do not.
+  Fleet All(4);
+  All.Published = 1;
+  REQUIRE(All.untilAllHave(1) <= 5000);
+  All.Forgers = {1};
+  const Bytes Encoded = encode(Announce{.From = All.Members[1].Name,
+                                        .Version = ConfigVersion(2),
+                                        .Objects = digestAt(2)});
+  All.Hosts[0]->handleAnnounce(*wire::decodeEnvelope(Encoded, "t", "p"),
+                               All.Members[1].PeerAddress);
+  All.Time.advance(Milliseconds(3000));
+  CHECK(All.versionOf(0) == 1);
+  CHECK(All.Hosts[0]->counters().PullFailures >= 1);
+  All.Published = 2;
+  CHECK(All.untilAllHave(2, {0}) <= 15'000);
+  CHECK(*All.Hosts[0]->history().Set == setAt(2));
+}
+
 TEST_CASE("A failure domain that was cut off takes the higher version",
           "[sync]") {
   // Guards against a rejoining side that brings back its old version, and
--- a/packages/sync/tests/PeerTransferTests.cpp
+++ b/packages/sync/tests/PeerTransferTests.cpp
@@ -101,14 +101,15 @@
   bool Applied = false;
   SyncOptions Options{.ReadJitter = Milliseconds(0), .Pace = {.PageBytes = 64}};
   Options.OnApplied = [&](const VersionHistory &) { Applied = true; };
-  ConfigSync Source(Net.Context.get_executor(), Options,
-                    PeerCalls{.Members =
-                                  [] {
-                                    return std::vector{membership::Member{
-                                        .Name = EntryHostName("source")}};
-                                  },
-                              .Send = [](Bytes, const UdpEndpoint &) {}},
-                    platformWithVersion(3));
+  ConfigSync Source(
+      Net.Context.get_executor(), Options,
+      PeerCalls{.Members =
+                    [] {
+                      return std::vector{
+                          membership::Member{.Name = EntryHostName("source")}};
+                    },
+                .Send = [](const Bytes &, const UdpEndpoint &) {}},
+      platformWithVersion(3));
   Server = &Source;
   spawn(Net.Context.get_executor(), "source", Source.run());
   while (!Applied)
