--- a/packages/routing/src/buckthorndeck/routing/Dispatcher.cpp
+++ b/packages/routing/src/buckthorndeck/routing/Dispatcher.cpp
@@ -65,7 +65,7 @@
 }
 
 struct Dispatcher::State {
-  State(Executor Where, DispatcherOptions Options)
+  State(const Executor &Where, DispatcherOptions Options)
       : Where(Where), Options(std::move(Options)), Idle(Where) {}
 
   std::shared_ptr<ServicePool> find(const ObjectName &Service) const {
@@ -106,8 +106,8 @@
   Notifier Idle;
 };
 
-Dispatcher::Dispatcher(Executor Where, DispatcherOptions Options)
-    : Shared(std::make_shared<State>(std::move(Where), std::move(Options))) {}
+Dispatcher::Dispatcher(const Executor &Where, DispatcherOptions Options)
+    : Shared(std::make_shared<State>(Where, std::move(Options))) {}
 
 Dispatcher::~Dispatcher() {
   for (auto &[Name, Pool] : Shared->Pools)
--- a/packages/routing/src/buckthorndeck/routing/Dispatcher.h
+++ b/packages/routing/src/buckthorndeck/routing/Dispatcher.h
@@ -93,7 +93,7 @@
  */
 class Dispatcher {
 public:
-  Dispatcher(Executor Where, DispatcherOptions Options);
+  Dispatcher(const Executor &Where, DispatcherOptions Options);
   ~Dispatcher();
   Dispatcher(const Dispatcher &) = delete;
   Dispatcher &operator=(const Dispatcher &) = delete;
--- a/packages/routing/src/buckthorndeck/routing/internal/Channel.cpp
+++ b/packages/routing/src/buckthorndeck/routing/internal/Channel.cpp
@@ -34,7 +34,7 @@
 
 } // namespace
 
-Channel::Channel(Executor Where, config::BackendServer Declared,
+Channel::Channel(const Executor &Where, config::BackendServer Declared,
                  std::uint64_t Seed, std::weak_ptr<ChannelOwner> Owner,
                  std::shared_ptr<DispatcherCounters> Counters)
     : Where(Where), Declared(std::move(Declared)), Random(Seed),
--- a/packages/routing/src/buckthorndeck/routing/internal/Channel.h
+++ b/packages/routing/src/buckthorndeck/routing/internal/Channel.h
@@ -69,8 +69,8 @@
  */
 class Channel : public std::enable_shared_from_this<Channel> {
 public:
-  Channel(Executor Where, config::BackendServer Declared, std::uint64_t Seed,
-          std::weak_ptr<ChannelOwner> Owner,
+  Channel(const Executor &Where, config::BackendServer Declared,
+          std::uint64_t Seed, std::weak_ptr<ChannelOwner> Owner,
           std::shared_ptr<DispatcherCounters> Counters);
 
   //! Runs until retire() or close().
--- a/packages/routing/tests/DispatcherTests.cpp
+++ b/packages/routing/tests/DispatcherTests.cpp
@@ -156,6 +156,7 @@
     co_await F.connect(1);
     FakeServer &Server = *F.Servers[0];
     std::vector<std::shared_ptr<std::optional<JobResult>>> Results;
+    Results.reserve(5);
     for (int Count = 0; Count < 5; ++Count)
       Results.push_back(F.start(F.job()));
     for (std::size_t Index = 0; Index < 5; ++Index) {
--- a/packages/routing/tests/FakeServer.h
+++ b/packages/routing/tests/FakeServer.h
@@ -20,7 +20,7 @@
   using OnCommand =
       std::function<void(FakeServer &, const wire::ServerCommand &)>;
 
-  FakeServer(const Executor &Where, std::string Name, OnCommand Answer,
+  FakeServer(const Executor &Where, const std::string &Name, OnCommand Answer,
              std::uint32_t Slots = 2)
       : Hello{.Server = ObjectName("ns/" + Name),
               .ServerGeneration = Generation(1),
--- a/packages/routing/tests/SelectionTests.cpp
+++ b/packages/routing/tests/SelectionTests.cpp
@@ -23,6 +23,7 @@
 
 std::vector<Candidate> all(const std::vector<ServerLoad> &Loads) {
   std::vector<Candidate> Result;
+  Result.reserve(Loads.size());
   for (const ServerLoad &Load : Loads)
     Result.push_back({.Load = &Load});
   return Result;
