Bound the pages that one host serves in a test

A node among 200 peers now gets 40 page requests a second, and what it sends must stay within the requests, short answers and its budget.

--- a/packages/membership/tests/BoundsTests.cpp
+++ b/packages/membership/tests/BoundsTests.cpp
@@ -69,6 +69,25 @@
   }
 }
 
+TEST_CASE("A host that many others read from serves two pages a period",
+          "[bounds]") {
+  // Guards against a seed that exceeds its budget when a rack starts at once.
+  FakePeers Peers(200, 1);
+  join(Peers);
+  const std::uint64_t Before = Peers.bytes();
+  constexpr int Seconds = 10;
+  for (int Second = 0; Second < Seconds; ++Second) {
+    for (int Reader = 0; Reader < 40; ++Reader)
+      Peers.toNode([&] {
+        const Member From = Peers.randomLive();
+        return Heartbeat{.From = From, .PageAfter = From.Name};
+      });
+    Peers.second();
+  }
+  // Each request and each short answer has under 200 bytes.
+  CHECK(Peers.bytes() - Before <= Seconds * (40 * 2 * 200 + BudgetBytes));
+}
+
 TEST_CASE("The loss of a rack stays within the byte budget", "[bounds]") {
   // Guards against indirect probes and news that add up when many hosts fail
   // at once.
--- a/packages/membership/tests/FakePeers.h
+++ b/packages/membership/tests/FakePeers.h
@@ -107,6 +107,22 @@
     return Found->second.Info;
   }
 
+  //! Sends what Make returns.
+  template <typename Callable> void toNode(Callable Make) {
+    if (!Node)
+      return;
+    Bytes Encoded;
+    UdpEndpoint From;
+    {
+      const Meter Running(OwnNanoseconds);
+      Message Content = Make();
+      Encoded = encode(Content);
+      From =
+          std::visit([](const auto &M) { return M.From.PeerAddress; }, Content);
+    }
+    Node->handle(*wire::decodeEnvelope(Encoded, "test", "peer"), From);
+  }
+
   //! Total bytes in both directions.
   std::uint64_t bytes() const {
     return Node->counters().BytesSent + Node->counters().BytesReceived;
@@ -129,22 +145,6 @@
 
   std::vector<Member> news() { return News ? News() : std::vector<Member>(); }
 
-  //! Sends what Make returns.
-  template <typename Callable> void toNode(Callable Make) {
-    if (!Node)
-      return;
-    Bytes Encoded;
-    UdpEndpoint From;
-    {
-      const Meter Running(OwnNanoseconds);
-      Message Content = Make();
-      Encoded = encode(Content);
-      From =
-          std::visit([](const auto &M) { return M.From.PeerAddress; }, Content);
-    }
-    Node->handle(*wire::decodeEnvelope(Encoded, "test", "peer"), From);
-  }
-
   void answer(const Bytes &Payload, const UdpEndpoint &To) {
     LongestMessage = std::max(LongestMessage, Payload.size());
     const Message Sent =
