--- a/packages/bench/src/bench-membership.cpp
+++ b/packages/bench/src/bench-membership.cpp
@@ -96,7 +96,7 @@
                std::uint64_t Seed) {
   FakePeers Peers(Hosts, Seed);
   Peers.News = [&] {
-    const auto Updates = chooseUpdates(Peers.Truth, MaxUpdates);
+    auto Updates = chooseUpdates(Peers.Truth, MaxUpdates);
     countSent(Peers.Truth, Updates);
     return Updates;
   };
