Say not_run for idempotent requests only where no other host can have run them

The frozen home resumed after the deadline and shed the request, while another host had taken it over on the third attempt and run it.

Change: a host that took a request over says unknown instead of not_run; a caller that has sent a third attempt takes not_run as unknown; a cancel under a token of an earlier incarnation is answered unknown and recorded nowhere.

Ruled out: letting the home judge by the attempts it has seen, since the third attempt may have reached another host only.

--- a/packages/entryhost/src/buckthorndeck/entryhost/FlowRouter.cpp
+++ b/packages/entryhost/src/buckthorndeck/entryhost/FlowRouter.cpp
@@ -19,8 +19,13 @@
                            .ServerGeneration = Token.ServerGeneration};
 }
 
-TimePoint mintTime(const HostContext &Context, const wire::Token &Token) {
-  return Context.StartedAt + Token.MintedAt;
+//! A token that this process did not mint, or that is too old, has no mint
+//! time on this process's clock; its work is recorded as if minted now.
+TimePoint mintTime(const HostContext &Context, const wire::Token &Token,
+                   TokenStanding Standing) {
+  return Standing == TokenStanding::MineValid
+             ? Context.StartedAt + Token.MintedAt
+             : Clock::now();
 }
 
 const char *typeName(const wire::Datagram &Message) {
@@ -138,11 +143,12 @@
   const TokenStanding Standing =
       judgeToken(*Token, Context.Self, Context.Limits, monotonicNow(Context));
   if (Standing != TokenStanding::Other) {
-    Requests.handlePart(Message, {.Caller = From.Caller,
-                                  .Standing = Standing,
-                                  .MintedAt = mintTime(Context, *Token),
-                                  .Preferred = affinityOf(*Token),
-                                  .Repeatable = Repeatable});
+    Requests.handlePart(Message,
+                        {.Caller = From.Caller,
+                         .Standing = Standing,
+                         .MintedAt = mintTime(Context, *Token, Standing),
+                         .Preferred = affinityOf(*Token),
+                         .Repeatable = Repeatable});
     return;
   }
   const HomeReach Reach =
@@ -230,9 +236,10 @@
       relayToHome(*Token, From);
     return;
   }
-  Requests.handleCancel(Message, {.Caller = From.Caller,
-                                  .Standing = Standing,
-                                  .MintedAt = mintTime(Context, *Token)});
+  Requests.handleCancel(Message,
+                        {.Caller = From.Caller,
+                         .Standing = Standing,
+                         .MintedAt = mintTime(Context, *Token, Standing)});
 }
 
 } // namespace buckthorndeck::entryhost
--- a/packages/entryhost/src/buckthorndeck/entryhost/RequestService.cpp
+++ b/packages/entryhost/src/buckthorndeck/entryhost/RequestService.cpp
@@ -144,7 +144,9 @@
   if (Met.State != routing::Admission::Kind::New)
     return answerAdmission(Key, Request.Service, Origin.Caller, Met);
   auto Signal = routing::makeCancelSignal(Context.Where);
-  Running[Key] = {.Caller = Origin.Caller, .Signal = Signal};
+  Running[Key] = {.Caller = Origin.Caller,
+                  .Signal = Signal,
+                  .SoleRunner = Origin.Standing == TokenStanding::MineValid};
   routing::Job Work{.Service =
                         findService(Context.Services, Request.Service)->Service,
                     .Operation = Request.Operation,
@@ -163,6 +165,9 @@
   const std::shared_ptr<routing::CancelSignal> Signal = Running[Key].Signal;
   routing::JobResult Result =
       co_await Context.Servers.run(std::move(Work), Signal);
+  // Another host may have taken the request over too and run it.
+  if (Result.Result == wire::Outcome::NotRun && !Running[Key].SoleRunner)
+    Result.Result = wire::Outcome::Unknown;
   Records.finish(Key, Result, Clock::now());
   const UdpEndpoint Caller = Running[Key].Caller;
   Running.erase(Key);
@@ -218,6 +223,16 @@
     return;
   }
   dropPartial(Key);
+  if (Origin.Standing != TokenStanding::MineValid) {
+    // An earlier process, or a record that is gone, may have run it.
+    const auto Met = Records.find(Key, Origin.MintedAt, Clock::now());
+    if (Met)
+      answerAdmission(Key, Request.Service, Origin.Caller, *Met);
+    else
+      sendShortAnswer(Context, Origin.Caller, Key.Flow, Key.Number,
+                      wire::Outcome::Unknown, "token_expired");
+    return;
+  }
   // The record keeps a late copy of the request from running.
   const routing::Admission Met =
       Records.refuse(Key, Origin.MintedAt, notRun("cancelled"), Clock::now());
--- a/packages/entryhost/src/buckthorndeck/entryhost/RequestService.h
+++ b/packages/entryhost/src/buckthorndeck/entryhost/RequestService.h
@@ -57,6 +57,8 @@
   struct Execution {
     UdpEndpoint Caller; //!< Where the latest attempt came from.
     std::shared_ptr<routing::CancelSignal> Signal;
+    //! No other host can have run the request, so this one may say not_run.
+    bool SoleRunner = false;
   };
   struct Partial {
     wire::BodyAssembler Body;
--- a/packages/faults/src/buckthorndeck/faults/Audit.cpp
+++ b/packages/faults/src/buckthorndeck/faults/Audit.cpp
@@ -34,10 +34,8 @@
 void auditCall(AuditReport &Report, const CallRecord &Call,
                const RunTotals &Runs) {
   ++Report.Outcomes[wire::toString(Call.Result)];
-  if (!Call.WholeAnswer) {
+  if (!Call.WholeAnswer)
     ++Report.BrokenCalls;
-    note(Report, Call, "broken call");
-  }
   if (!Call.Idempotent && Runs.Count > 1) {
     ++Report.DoubledRuns;
     note(Report, Call, "ran twice");
@@ -59,6 +57,8 @@
     ++Report.WrongAnswers;
     note(Report, Call, "wrong answer");
   }
+  if (!Call.WholeAnswer)
+    note(Report, Call, "broken call");
 }
 
 } // namespace
--- a/packages/faults/src/buckthorndeck/faults/Site.cpp
+++ b/packages/faults/src/buckthorndeck/faults/Site.cpp
@@ -234,15 +234,34 @@
     co_await waitForVersion(Item, Version);
 }
 
+Task<std::optional<Json>> Site::askStatus(TcpEndpoint Where) {
+  const auto Link = co_await WebSocket::connect(Where);
+  const Json Request = {{"type", "status_request"}};
+  if (!Link || !(*Link)->send(Request))
+    co_return std::nullopt;
+  auto Status = co_await (*Link)->receive();
+  if (!Status)
+    co_return std::nullopt;
+  co_return std::move(*Status);
+}
+
 Task<> Site::waitForVersion(SiteHost &Host, ConfigVersion Wanted) {
   while (true) {
-    const auto Link = co_await WebSocket::connect(Host.Addresses.Sync);
-    const Json Request = {{"type", "status_request"}};
-    if (Link && (*Link)->send(Request)) {
-      const auto Status = co_await (*Link)->receive();
-      if (Status && (*Status)["version"] >= Wanted.value())
-        co_return;
-    }
+    const auto Status = co_await askStatus(Host.Addresses.Sync);
+    if (Status && (*Status)["version"] >= Wanted.value())
+      co_return;
+    co_await sleepFor(PollInterval);
+  }
+}
+
+Task<> Site::waitForMemberState(SiteHost &Host, std::string Name,
+                                std::string State) {
+  while (true) {
+    const auto Status = co_await askStatus(Host.Addresses.Sync);
+    if (Status)
+      for (const Json &Member : (*Status)["members"])
+        if (Member["name"] == Name && Member["state"] == State)
+          co_return;
     co_await sleepFor(PollInterval);
   }
 }
@@ -258,13 +277,21 @@
   return Result;
 }
 
-void Site::replaceServer(const std::string &Name,
-                         standins::BackendServerOptions Replacement) {
+Task<> Site::replaceServer(std::string Name,
+                           standins::BackendServerOptions Replacement) {
   Replacement.Listen = Servers.at(Name)->endpoint();
   Servers.at(Name)->stop();
   const std::string NewName = Replacement.Name.value() + "@" + Name;
-  Servers[NewName] = std::make_unique<standins::BackendServer>(
-      standins::BackendServer::start(Where, std::move(Replacement)).value());
+  while (true) {
+    auto Started = standins::BackendServer::start(Where, Replacement);
+    if (Started) {
+      Servers[NewName] =
+          std::make_unique<standins::BackendServer>(std::move(*Started));
+      co_return;
+    }
+    // The old listener is closed by its own task.
+    co_await sleepFor(PollInterval);
+  }
 }
 
 ServiceAddress Site::serviceAddress(const std::string &Service) const {
--- a/packages/faults/src/buckthorndeck/faults/Site.h
+++ b/packages/faults/src/buckthorndeck/faults/Site.h
@@ -64,13 +64,16 @@
   Task<> publish(std::function<void(config::ObjectSet &)> Change);
   //! Waits until the host answers with at least this version.
   Task<> waitForVersion(SiteHost &Host, ConfigVersion Version);
+  //! Waits until Host sees the member Name in this state.
+  Task<> waitForMemberState(SiteHost &Host, std::string Name,
+                            std::string State);
   ConfigVersion version() const { return Version; }
 
   standins::BackendServer &server(const std::string &Name);
   std::vector<standins::BackendServer *> servers();
   //! Stops a server and starts Replacement at the same address.
-  void replaceServer(const std::string &Name,
-                     standins::BackendServerOptions Replacement);
+  Task<> replaceServer(std::string Name,
+                       standins::BackendServerOptions Replacement);
 
   standins::Platform &platform() { return *Store; }
   standins::Fabric &fabric() { return *Spray; }
@@ -80,6 +83,7 @@
   ServiceAddress serviceAddress(const std::string &Service) const;
 
 private:
+  static Task<std::optional<Json>> askStatus(TcpEndpoint Where);
   void startServers();
   Json hostSettings(const std::string &Name,
                     const std::string &FailureDomain) const;
--- a/packages/faults/tests/FaultTests.cpp
+++ b/packages/faults/tests/FaultTests.cpp
@@ -18,6 +18,8 @@
 //! Calls and events that every caller must complete before and after a fault.
 constexpr unsigned Before = 5;
 constexpr unsigned After = 10;
+//! Time after which a draining server must get no new work.
+constexpr Milliseconds DrainLimit{3'000};
 
 using Fault = std::function<Task<>(Site &, Traffic &)>;
 
@@ -98,6 +100,101 @@
   }
 }
 
+//! Kills a host; the fabric learns of it late.
+Task<> killHost(Site &Target, Traffic &Callers) {
+  const std::string Victim = "entry-1";
+  Target.host(Victim).Process->kill();
+  co_await Callers.progress(2);
+  co_await Target.host(Victim).Process->exited();
+  Target.removeHost(Victim);
+  Target.sprayOverAll();
+}
+
+//! Kills a host and starts it again at the same address.
+Task<> restartHost(Site &Target, Traffic &Callers) {
+  co_await killHost(Target, Callers);
+  co_await Target.addHost("entry-1", "middle");
+  Target.sprayOverAll();
+}
+
+//! Freezes a host until its peers have given it up, then lets it go on with
+//! what it had in hand.
+Task<> freezeHost(Site &Target, Traffic &Callers) {
+  HostProcess &Victim = *Target.host("entry-1").Process;
+  Victim.freeze();
+  co_await Target.waitForMemberState(Target.host("entry-0"), "entry-1", "dead");
+  co_await Callers.progress(2);
+  Victim.resume();
+  co_await Target.waitForMemberState(Target.host("entry-0"), "entry-1",
+                                     "alive");
+}
+
+Task<> drainServers(Site &Target, Traffic &Callers) {
+  for (const char *Name :
+       {"exchange/trading-floor-0", "registry/tag-registry-1",
+        "exchange/swatch-press-0", "registry/certificate-press-1"})
+    Target.server(Name).drain();
+  co_await Callers.progress(3);
+}
+
+//! Declares a drain, which the server itself knows nothing of.
+Task<> declareDrain(Site &Target, Traffic &Callers) {
+  const ObjectName Name("exchange/trading-floor-0");
+  co_await Target.publish([&](config::ObjectSet &Objects) {
+    Objects.BackendServers.at(Name).Draining = true;
+  });
+  co_await sleepFor(DrainLimit);
+  const std::size_t RunsThen = Target.server(Name.value()).runs().size();
+  co_await Callers.progress(5);
+  CHECK(Target.server(Name.value()).runs().size() == RunsThen);
+  CHECK(Target.server(Name.value()).subscriptions() == 0);
+}
+
+Task<> killServer(Site &Target, Traffic &Callers) {
+  Target.server("exchange/trading-floor-0").stop();
+  Target.server("registry/tag-registry-0").stop();
+  co_await Callers.progress(3);
+}
+
+//! Another service's server comes up at the address of a server that the
+//! configuration still names.
+Task<> reuseAddress(Site &Target, Traffic &Callers) {
+  co_await Target.replaceServer(
+      "exchange/trading-floor-0",
+      {.Name = ObjectName("registry/certificate-press-9"),
+       .Service = ObjectName("registry/certificate-press")});
+  co_await Callers.progress(5);
+}
+
+//! A host joins while the platform is down; its peers have what it needs.
+Task<> joinDuringOutage(Site &Target, Traffic &Callers) {
+  Target.platform().setFaults({.Outage = true});
+  co_await Target.addHost("late", "north");
+  Target.sprayOver({"late"});
+  co_await Callers.progress(3);
+  Target.sprayOverAll();
+}
+
+//! Several faults at once, with losses in the fabric.
+Task<> severalAtOnce(Site &Target, Traffic &Callers) {
+  Target.platform().setFaults({.Outage = true});
+  Target.server("registry/certificate-press-0").stop();
+  Target.server("exchange/swatch-press-0").drain();
+  co_await Target.addHost("late", "south");
+  Target.sprayOverAll();
+  Target.host("entry-2").Process->terminate();
+  co_await killHost(Target, Callers);
+  Target.platform().setFaults({});
+}
+
+//! One row of the table of faults.
+struct FaultRow {
+  const char *Name;
+  std::uint64_t Seed;
+  Fault Inject;
+  bool Planned = false;
+};
+
 } // namespace
 
 TEST_CASE("Every caller is served over a fabric that sprays packets",
@@ -118,3 +215,31 @@
           "[faults][planned]") {
   checkPlanned(runFault({.Seed = 3}, replaceAllHosts));
 }
+
+TEST_CASE("No fault doubles, loses sight of or misdelivers a request",
+          "[faults][table]") {
+  // Each row guards against what its fault would do without the ledger, the
+  // home's incarnation, the server's identity or peers as a source of the
+  // configuration.
+  const std::vector<FaultRow> Table{
+      {"entry host killed", 11, killHost},
+      {"entry host restarted at its address", 12, restartHost},
+      {"entry host frozen and resumed", 13, freezeHost},
+      {"backend servers drain", 14, drainServers, /*Planned=*/true},
+      {"drain declared by an operator", 15, declareDrain, /*Planned=*/true},
+      {"backend servers killed", 16, killServer},
+      {"server address reused by another service", 17, reuseAddress},
+      {"entry host joins during an outage", 18, joinDuringOutage,
+       /*Planned=*/true},
+      {"several at once", 19, severalAtOnce},
+  };
+  for (const FaultRow &Row : Table)
+    DYNAMIC_SECTION(Row.Name) {
+      const Verdict Result = runFault({.Seed = Row.Seed}, Row.Inject);
+      WARN(Row.Name << ": " << describe(Result.Report));
+      if (Row.Planned)
+        checkPlanned(Result);
+      else
+        checkAlways(Result);
+    }
+}
--- a/packages/standins/src/buckthorndeck/standins/Caller.cpp
+++ b/packages/standins/src/buckthorndeck/standins/Caller.cpp
@@ -66,6 +66,7 @@
   bool HomeHasAll = false; //!< Some home has accepted the whole request.
   bool Accepted = false;   //!< Accepted since the latest attempt.
   std::uint32_t Attempts = 0;
+  std::uint32_t HighestAttempt = 0; //!< As numbered in the datagrams.
   bool Done = false;
   wire::Outcome Result = wire::Outcome::Unknown;
   std::string Reason;
@@ -242,6 +243,7 @@
     Milliseconds Pause = Self->Options.FirstRetry;
     while (true) {
       ++Entry->Attempts;
+      Entry->HighestAttempt = std::max(Entry->HighestAttempt, Request.Attempt);
       Entry->Accepted = false;
       co_await sendParts(Self, Entry, Request, Parts, Deadline);
       const TimePoint Sent = Clock::now();
@@ -284,11 +286,13 @@
     }
     const std::vector<wire::BodyPart> Parts = wire::splitBody(Wanted.Body);
     Milliseconds Pause = FirstReopenPause;
+    bool MayHaveRun = false; //!< Another host than the home may have run it.
     while (true) {
       const std::optional<Bytes> Token = co_await acquireToken(Self, Deadline);
       if (!Token) {
         // Nothing was sent, or all that was sent was answered with reopen.
-        Settle(wire::Outcome::NotRun, "no token before the deadline");
+        Settle(MayHaveRun ? wire::Outcome::Unknown : wire::Outcome::NotRun,
+               "no token before the deadline");
         break;
       }
       const Sequence Number(Self->NextNumber++);
@@ -311,9 +315,15 @@
         Settle(wire::Outcome::Unknown, "no answer before the deadline");
         break;
       }
+      // From the third attempt on any host may run an idempotent request, so
+      // no single answer can tell any more that none has.
+      MayHaveRun = MayHaveRun || (Wanted.Idempotent &&
+                                  Entry->HighestAttempt > AttemptsBeforeReopen);
       if (Entry->Result != wire::Outcome::Reopen) {
+        const bool Doubtful =
+            MayHaveRun && Entry->Result == wire::Outcome::NotRun;
         Result.Answered = true;
-        Result.Result = Entry->Result;
+        Result.Result = Doubtful ? wire::Outcome::Unknown : Entry->Result;
         Result.Reason = Entry->Reason;
         Result.Body = std::move(Entry->Body);
         break;
@@ -321,7 +331,8 @@
       ++Result.Reopens;
       Self->dropToken(*Token);
       if (Clock::now() + Pause >= Deadline) {
-        Settle(wire::Outcome::NotRun, "asked to reopen until the deadline");
+        Settle(MayHaveRun ? wire::Outcome::Unknown : wire::Outcome::NotRun,
+               "asked to reopen until the deadline");
         break;
       }
       co_await sleepFor(Self->jittered(Pause));
