--- a/packages/faults/src/buckthorndeck/faults/HostProcess.cpp
+++ b/packages/faults/src/buckthorndeck/faults/HostProcess.cpp
@@ -3,6 +3,7 @@
 #include "buckthorndeck/base/JsonSchema.h"
 
 #include <boost/process/child.hpp>
+#include <boost/process/handles.hpp>
 #include <boost/process/io.hpp>
 #include <csignal>
 #include <filesystem>
@@ -34,9 +35,12 @@
   Settings["ports_file"] = PortsFile;
   std::ofstream(Base + ".json") << Settings.dump();
   const std::string Log = Base + ".log";
+  // A child that inherited the stand-ins' sockets would keep the ports of
+  // stopped servers open.
   Running = std::make_unique<Child>(Child{boost::process::child(
       Program, "--settings=" + Base + ".json",
-      boost::process::std_out > Log + ".out", boost::process::std_err > Log)});
+      boost::process::std_out > Log + ".out", boost::process::std_err > Log,
+      boost::process::limit_handles)});
 }
 
 HostProcess::~HostProcess() {
--- a/packages/faults/src/buckthorndeck/faults/Site.cpp
+++ b/packages/faults/src/buckthorndeck/faults/Site.cpp
@@ -202,6 +202,7 @@
 
 std::vector<std::string> Site::hostNames() const {
   std::vector<std::string> Names;
+  Names.reserve(Hosts.size());
   for (const auto &[Name, Item] : Hosts)
     Names.push_back(Name);
   return Names;
@@ -209,6 +210,7 @@
 
 void Site::sprayOver(const std::vector<std::string> &Names) {
   std::vector<UdpEndpoint> Targets;
+  Targets.reserve(Names.size());
   for (const std::string &Name : Names)
     Targets.push_back(Hosts.at(Name).Addresses.Callers);
   Spray->setHosts(std::move(Targets));
@@ -272,6 +274,7 @@
 
 std::vector<standins::BackendServer *> Site::servers() {
   std::vector<standins::BackendServer *> Result;
+  Result.reserve(Servers.size());
   for (const auto &[Name, Item] : Servers)
     Result.push_back(Item.get());
   return Result;
--- a/packages/faults/tests/FaultTests.cpp
+++ b/packages/faults/tests/FaultTests.cpp
@@ -53,8 +53,8 @@
   Context.run_for(RunLimit);
   if (Failure)
     std::rethrow_exception(Failure);
-  const Verdict Result{.Report = audit(Callers.records(), Target.servers()),
-                       .Feeds = Callers.feeds()};
+  Verdict Result{.Report = audit(Callers.records(), Target.servers()),
+                 .Feeds = Callers.feeds()};
   INFO(describe(Result.Report) << "; waiting for:" << Callers.waiting());
   REQUIRE(Finished);
   return Result;
@@ -184,6 +184,9 @@
   Target.sprayOverAll();
   Target.host("entry-2").Process->terminate();
   co_await killHost(Target, Callers);
+  co_await Target.host("entry-2").Process->exited();
+  Target.removeHost("entry-2");
+  Target.sprayOverAll();
   Target.platform().setFaults({});
 }
 
