--- a/packages/config/src/buckthorndeck/config/Limits.h
+++ b/packages/config/src/buckthorndeck/config/Limits.h
@@ -10,6 +10,9 @@
 //! One part of a name: namespace, object, region, failure domain, host.
 inline constexpr std::size_t MaxNameLength = 63;
 inline constexpr std::size_t MaxFullNameLength = 2 * MaxNameLength + 1;
+//! Full names of services and backend servers travel in tokens and on server
+//! channels, whose fields are shorter.
+inline constexpr std::size_t MaxCarriedNameLength = 56;
 //! "255.255.255.255:65535".
 inline constexpr std::size_t MaxAddressLength = 21;
 //! The datagram messages carry at most this much of an operation's name.
--- a/packages/config/src/buckthorndeck/config/Validation.cpp
+++ b/packages/config/src/buckthorndeck/config/Validation.cpp
@@ -111,6 +111,7 @@
   }
 
   void check(const Service &Object) {
+    checkCarriedName(Object.Name);
     if (!checkAddress(Object.Address.value()))
       return;
     const auto [Known, New] =
@@ -121,7 +122,16 @@
                             Known->second.value());
   }
 
+  void checkCarriedName(const ObjectName &Name) {
+    if (Name.value().size() > MaxCarriedNameLength)
+      report("name",
+             "found " + std::to_string(Name.value().size()) +
+                 " characters in " + Name.value() + ", expected at most " +
+                 std::to_string(MaxCarriedNameLength) + " with the namespace");
+  }
+
   void check(const BackendServer &Object) {
+    checkCarriedName(Object.Name);
     checkReference("place", Object.Place, Objects.Places);
     checkReference("service", Object.Service, Objects.Services);
     checkRange("generation", Object.ServerGeneration.value(), 1, MaxGeneration);
