--- a/packages/sync/src/buckthorndeck/sync/VersionHistory.h
+++ b/packages/sync/src/buckthorndeck/sync/VersionHistory.h
@@ -10,7 +10,10 @@
 
 namespace buckthorndeck::sync {
 
-inline constexpr std::size_t MaxDeltas = 32;
+//! An hour apart at 1,500 versions a day leaves a host 63 versions behind; it
+//! must then be able to catch up by deltas, since a whole set takes minutes at
+//! the pace that the control budget allows.
+inline constexpr std::size_t MaxDeltas = 256;
 //! Bounds the memory of the kept deltas; beyond it a reader that is behind
 //! gets the whole set, which is about as large.
 inline constexpr std::size_t MaxDeltaHistoryBytes = 2 * 1024 * 1024;
--- a/packages/sync/tests/VersionHistoryTests.cpp
+++ b/packages/sync/tests/VersionHistoryTests.cpp
@@ -60,12 +60,16 @@
     unsigned First, Last; //!< Versions of the reader; 0 to 0 for none.
     SyncAnswerKind Kind;
   };
-  const VersionHistory Server = historyOf(1, 40);
-  const Row Rows[] = {
-      {1, 39, SyncAnswerKind::Delta},  {1, 8, SyncAnswerKind::Delta},
-      {20, 20, SyncAnswerKind::Delta}, {1, 7, SyncAnswerKind::Full},
-      {0, 0, SyncAnswerKind::Full},    {1, 40, SyncAnswerKind::Current},
-      {1, 41, SyncAnswerKind::Current}};
+  // The oldest delta that is kept leads from version 8.
+  constexpr unsigned Newest = MaxDeltas + 8;
+  const VersionHistory Server = historyOf(1, Newest);
+  const Row Rows[] = {{1, Newest - 1, SyncAnswerKind::Delta},
+                      {1, 8, SyncAnswerKind::Delta},
+                      {20, 20, SyncAnswerKind::Delta},
+                      {1, 7, SyncAnswerKind::Full},
+                      {0, 0, SyncAnswerKind::Full},
+                      {1, Newest, SyncAnswerKind::Current},
+                      {1, Newest + 1, SyncAnswerKind::Current}};
   for (const Row &Case : Rows) {
     CAPTURE(Case.First, Case.Last);
     VersionHistory Reader =
@@ -79,13 +83,13 @@
     CHECK(*Reader.Set == *Server.Set);
     // The reader can now serve others that are as far behind as it was.
     CHECK(Reader.Deltas.size() <= MaxDeltas);
-    VersionHistory Last = historyOf(1, 39);
+    VersionHistory Last = historyOf(1, Newest - 1);
     REQUIRE(applyAnswer(Last, ask(Reader, Last), "peer"));
     CHECK(*Last.Set == *Server.Set);
   }
   // The same version number with another set needs the whole set.
-  CHECK(answerRequest(Server,
-                      {.Version = ConfigVersion(39), .Objects = digestAt(3)})
+  CHECK(answerRequest(Server, {.Version = ConfigVersion(Newest - 1),
+                               .Objects = digestAt(3)})
             .Kind == SyncAnswerKind::Full);
 }
 
