--- a/packages/faults/tests/FaultTests.cpp
+++ b/packages/faults/tests/FaultTests.cpp
@@ -150,6 +150,20 @@
   CHECK(Target.server(Name.value()).subscriptions() == 0);
 }
 
+//! Drains an entry host by declaration; it stops by itself.
+Task<> declareHostDrain(Site &Target, Traffic &Callers) {
+  const ObjectName Name("exchange/stop-entry-1");
+  co_await Target.publish([&](config::ObjectSet &Objects) {
+    Objects.EntryHostDrains[Name] = {.Name = Name,
+                                     .Host = EntryHostName("entry-1")};
+  });
+  co_await Callers.progress(2);
+  const int Code = co_await Target.host("entry-1").Process->exited();
+  CHECK(Code == 0);
+  Target.removeHost("entry-1");
+  Target.sprayOverAll();
+}
+
 Task<> killServer(Site &Target, Traffic &Callers) {
   Target.server("exchange/trading-floor-0").stop();
   Target.server("registry/tag-registry-0").stop();
@@ -231,6 +245,8 @@
       {"backend servers drain", 14, drainServers, /*Planned=*/true},
       {"drain declared by an operator", 15, declareDrain, /*Planned=*/true},
       {"backend servers killed", 16, killServer},
+      {"entry host drained by declaration", 20, declareHostDrain,
+       /*Planned=*/true},
       {"server address reused by another service", 17, reuseAddress},
       {"entry host joins during an outage", 18, joinDuringOutage,
        /*Planned=*/true},
