Share the check for a missing token; remove an unread feed total

Cause: two routes of the flow router asked a caller without a token to reopen with the same lines, and FeedTotals::Stalled was computed but read nowhere. Change: requireToken() serves requests and subscriptions; Stalled is gone. Behaviour and assertions are unchanged.

--- a/packages/entryhost/src/buckthorndeck/entryhost/FlowRouter.cpp
+++ b/packages/entryhost/src/buckthorndeck/entryhost/FlowRouter.cpp
@@ -74,6 +74,17 @@
   return std::nullopt;
 }
 
+template <typename T>
+std::optional<wire::Token> FlowRouter::requireToken(const T &Message,
+                                                    Sequence Number,
+                                                    const Packet &From) {
+  if (!Message.Token.empty())
+    return openToken(Message.Token, Message.Service, Message.Flow, From);
+  sendShortAnswer(Context, From.Caller, Message.Flow, Number,
+                  wire::Outcome::Reopen, "token_required");
+  return std::nullopt;
+}
+
 bool FlowRouter::relayToHome(const wire::Token &Token, const Packet &From) {
   const membership::Member *Home = Members.find(Token.Home);
   if (!Home) {
@@ -128,13 +139,7 @@
 }
 
 void FlowRouter::route(const wire::Request &Message, const Packet &From) {
-  if (Message.Token.empty()) {
-    sendShortAnswer(Context, From.Caller, Message.Flow, Message.Number,
-                    wire::Outcome::Reopen, "token_required");
-    return;
-  }
-  const auto Token =
-      openToken(Message.Token, Message.Service, Message.Flow, From);
+  const auto Token = requireToken(Message, Message.Number, From);
   if (!Token)
     return;
   const bool Repeatable =
@@ -183,13 +188,7 @@
 }
 
 void FlowRouter::route(const wire::Subscribe &Message, const Packet &From) {
-  if (Message.Token.empty()) {
-    sendShortAnswer(Context, From.Caller, Message.Flow, Sequence(0),
-                    wire::Outcome::Reopen, "token_required");
-    return;
-  }
-  const auto Token =
-      openToken(Message.Token, Message.Service, Message.Flow, From);
+  const auto Token = requireToken(Message, Sequence(0), From);
   if (!Token)
     return;
   const bool Mine = Token->Home == Context.Self.Name;
--- a/packages/entryhost/src/buckthorndeck/entryhost/FlowRouter.h
+++ b/packages/entryhost/src/buckthorndeck/entryhost/FlowRouter.h
@@ -55,6 +55,10 @@
   std::optional<wire::Token> openToken(ByteView Sealed,
                                        const ServiceAddress &Service,
                                        FlowId Flow, const Packet &From);
+  //! Like openToken(), but asks a caller without a token to open the flow.
+  template <typename T>
+  std::optional<wire::Token> requireToken(const T &Message, Sequence Number,
+                                          const Packet &From);
   bool relayToHome(const wire::Token &Token, const Packet &From);
   bool handOver(FlowId Flow, const Packet &From);
   void takeOver(const wire::Request &Message, const wire::Token &Token,
--- a/packages/faults/src/buckthorndeck/faults/Traffic.cpp
+++ b/packages/faults/src/buckthorndeck/faults/Traffic.cpp
@@ -180,8 +180,6 @@
     Totals.Delivered += Who->Events;
     Totals.WrongBodies += Who->WrongBodies;
     Totals.Gaps += Who->Flow->subscription().Gaps;
-    if (Who->Events == Who->EventsMark)
-      ++Totals.Stalled;
   }
   return Totals;
 }
--- a/packages/faults/src/buckthorndeck/faults/Traffic.h
+++ b/packages/faults/src/buckthorndeck/faults/Traffic.h
@@ -31,8 +31,6 @@
   std::uint64_t Delivered = 0;
   std::uint64_t Gaps = 0;
   std::uint64_t WrongBodies = 0;
-  //! Feeds that have delivered nothing since the last mark.
-  std::uint64_t Stalled = 0;
 };
 
 struct TrafficOptions {
