--- a/cmake/BuckthorndeckPackage.cmake
+++ b/cmake/BuckthorndeckPackage.cmake
@@ -1,15 +1,21 @@
 find_package(Threads REQUIRED)
-find_package(Boost 1.81 REQUIRED COMPONENTS system filesystem)
+find_package(Boost 1.81 REQUIRED)
 find_package(nlohmann_json REQUIRED)
 find_package(prometheus-cpp REQUIRED CONFIG)
 find_package(PkgConfig REQUIRED)
-find_package(Catch2 2 REQUIRED)
+if(BUILD_TESTING)
+  find_package(Catch2 2 REQUIRED)
+endif()
 pkg_check_modules(SODIUM REQUIRED IMPORTED_TARGET libsodium)
 pkg_check_modules(LOG4CPLUS REQUIRED IMPORTED_TARGET log4cplus)
 pkg_check_modules(XXHASH REQUIRED IMPORTED_TARGET libxxhash)
 
 add_library(buckthorndeck_options INTERFACE)
-target_compile_options(buckthorndeck_options INTERFACE -Wall -Wextra -Werror -Wno-missing-field-initializers)
+target_compile_options(buckthorndeck_options INTERFACE -Wall -Wextra -Wno-missing-field-initializers)
+# g++ 12 gives false alarms (-Wrestrict) at the optimisation level of a deployment, which must not stop its build.
+if(NOT BUCKTHORNDECK_DEPLOY)
+  target_compile_options(buckthorndeck_options INTERFACE -Werror)
+endif()
 # One thread runs each process's io_context, so Asio's own locks are never contended.
 target_compile_definitions(buckthorndeck_options INTERFACE BOOST_ASIO_NO_DEPRECATED
                                                            BUCKTHORNDECK_VERSION="${PROJECT_VERSION}")
--- a/packages/base/src/buckthorndeck/base/Error.cpp
+++ b/packages/base/src/buckthorndeck/base/Error.cpp
@@ -16,6 +16,8 @@
     return "not_found";
   case ErrorCode::Refused:
     return "refused";
+  case ErrorCode::Expired:
+    return "expired";
   }
   return "unknown";
 }
--- a/packages/base/src/buckthorndeck/base/Error.h
+++ b/packages/base/src/buckthorndeck/base/Error.h
@@ -14,6 +14,7 @@
   Conflict,    //!< Another writer changed the state first.
   NotFound,    //!< The named thing does not exist.
   Refused,     //!< The peer refused and did nothing.
+  Expired,     //!< The history that was asked for is no longer kept.
 };
 
 //! Lower-case name of a code, as printed in logs.
--- a/packages/base/src/buckthorndeck/base/Log.cpp
+++ b/packages/base/src/buckthorndeck/base/Log.cpp
@@ -1,11 +1,14 @@
 #include "buckthorndeck/base/Log.h"
 
+#include "buckthorndeck/base/internal/BoundedAppender.h"
+
 #include <algorithm>
 #include <log4cplus/consoleappender.h>
 #include <log4cplus/initializer.h>
 #include <log4cplus/layout.h>
 #include <log4cplus/logger.h>
 #include <log4cplus/loggingmacros.h>
+#include <unistd.h>
 
 namespace buckthorndeck {
 
@@ -97,12 +100,20 @@
   const std::string Program = formatFields({{"program", Options.Program}});
   const std::string Pattern = "time=%D{%Y-%m-%dT%H:%M:%S.%q}Z level=%p " +
                               escapePattern(Program) + " %m%n";
-  log4cplus::SharedAppenderPtr Appender(new log4cplus::ConsoleAppender(
-      /*logToStdErr=*/true, /*immediateFlush=*/true));
+  log4cplus::SharedAppenderPtr Appender;
+  if (Options.Target == LogTarget::StandardOutput)
+    Appender = new BoundedAppender(STDOUT_FILENO, Options.LinesPerSecond);
+  else
+    Appender = new log4cplus::ConsoleAppender(/*logToStdErr=*/true,
+                                              /*immediateFlush=*/true);
   Appender->setLayout(std::make_unique<log4cplus::PatternLayout>(Pattern));
   rootLogger().removeAllAppenders();
   rootLogger().addAppender(Appender);
-  rootLogger().setLogLevel(toLibraryLevel(Options.Threshold));
+  setLogThreshold(Options.Threshold);
+}
+
+void setLogThreshold(LogLevel Threshold) {
+  rootLogger().setLogLevel(toLibraryLevel(Threshold));
 }
 
 void log(LogLevel Level, std::string_view Event,
--- a/packages/base/src/buckthorndeck/base/Log.h
+++ b/packages/base/src/buckthorndeck/base/Log.h
@@ -26,14 +26,25 @@
   std::string Value;
 };
 
+enum class LogTarget {
+  StandardError, //!< Unbounded; a reader that does not read stops the process.
+  //! Bounded: a line over the rate, or that the reader leaves no room for, is
+  //! dropped. The number of dropped lines is logged once there is room again.
+  StandardOutput,
+};
+
 struct LogOptions {
   LogLevel Threshold = LogLevel::Info;
   std::string Program; //!< Printed as program= on every line.
+  LogTarget Target = LogTarget::StandardError;
+  unsigned LinesPerSecond = 200; //!< Of a bounded target.
 };
 
-//! Sends log lines to standard error from now on.
+//! Sends log lines to the target from now on.
 void initLogging(const LogOptions &Options);
 
+void setLogThreshold(LogLevel Threshold);
+
 //! Writes one line: time, level, program, event and fields as key=value.
 void log(LogLevel Level, std::string_view Event,
          std::initializer_list<LogField> Fields = {});
--- a/packages/entryhost/app/main.cpp
+++ b/packages/entryhost/app/main.cpp
@@ -1,6 +1,10 @@
 #include "buckthorndeck/base/Log.h"
 #include "buckthorndeck/entryhost/EntryHost.h"
+#include "buckthorndeck/entryhost/PacketHost.h"
 #include "buckthorndeck/entryhost/Settings.h"
+#include "buckthorndeck/entryhost/SettingsReader.h"
+#include "buckthorndeck/platform/PacketCodec.h"
+#include "buckthorndeck/platform/StoreCalls.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/io_context.hpp>
@@ -10,6 +14,7 @@
 #include <optional>
 
 #include <csignal>
+#include <cstdlib>
 #include <iostream>
 #include <map>
 
@@ -22,12 +27,19 @@
 
 Usage:
   buckthorndeck --settings=FILE [--check]
+  buckthorndeck packets [--settings=FILE] [--check]
   buckthorndeck --describe-settings
+  buckthorndeck packets --describe-settings
   buckthorndeck (-h | --help)
   buckthorndeck --version
 
+Commands:
+  packets              Forward the packets of flows that backend servers and
+                       callers end themselves, instead of executing requests.
+
 Options:
-  --settings=FILE      JSON file with the settings of this entry host.
+  --settings=FILE      JSON file with the settings of this entry host. For
+                       packets it defaults to $BUCKTHORNDECK_CONFIG.
   --check              Check the settings and exit.
   --describe-settings  Print a table of all settings in Markdown.
   -h --help            Show this text.
@@ -35,6 +47,8 @@
 
 Signals:
   SIGTERM, SIGINT      Stop gracefully; a second one stops at once.
+  SIGHUP               packets: check the settings file again and take over
+                       the log level; other changes need a restart.
 
 Exit codes:
   0  stopped gracefully, or the settings are good
@@ -68,45 +82,115 @@
   log(LogLevel::Info, "stop_requested", {{"signal", Signal}});
 }
 
-Task<> stopOnSignal(boost::asio::io_context &Context,
-                    entryhost::EntryHost &Host) {
+template <typename Host>
+Task<> stopOnSignal(boost::asio::io_context &Context, Host &Stopped) {
   boost::asio::signal_set Signals(Context, SIGTERM, SIGINT);
   const auto [Code, Number] = co_await Signals.async_wait(
       boost::asio::as_tuple(boost::asio::use_awaitable));
   if (Code)
     co_return;
   logStopRequested(Number);
-  spawn(Context.get_executor(), "stop", Host.stop());
+  spawn(Context.get_executor(), "stop", Stopped.stop());
   co_await Signals.async_wait(
       boost::asio::as_tuple(boost::asio::use_awaitable));
   log(LogLevel::Warn, "stopped_at_once");
   std::_Exit(Failure);
 }
 
-Task<> serve(boost::asio::io_context &Context, entryhost::EntryHost &Host) {
-  co_await Host.run();
+void reloadPacketSettings(const std::string &File) {
+  const auto Settings = entryhost::loadPacketSettings(File);
+  if (Settings) {
+    setLogThreshold(Settings->LogThreshold);
+    log(LogLevel::Info, "settings_reloaded", {{"file", File}});
+    return;
+  }
+  for (const SchemaError &Violation : Settings.error())
+    log(LogLevel::Error, "settings_rejected", {{"error", describe(Violation)}});
+}
+
+Task<> reloadOnSignal(boost::asio::io_context &Context, std::string File) {
+  boost::asio::signal_set Signals(Context, SIGHUP);
+  while (true) {
+    const auto [Code, Number] = co_await Signals.async_wait(
+        boost::asio::as_tuple(boost::asio::use_awaitable));
+    if (Code)
+      co_return;
+    reloadPacketSettings(File);
+  }
+}
+
+template <typename Host>
+Task<> serve(boost::asio::io_context &Context, Host &Served) {
+  co_await Served.run();
   Context.stop();
 }
 
-int run(const entryhost::Settings &Settings) {
-  initLogging({.Threshold = Settings.LogThreshold,
-               .Program = "buckthorndeck/" + Settings.Name.value()});
-  boost::asio::io_context Context(1);
-  auto Host = entryhost::EntryHost::start(Context.get_executor(), Settings);
-  if (!Host) {
+//! Runs a started host until it has stopped.
+template <typename Host>
+int runHost(boost::asio::io_context &Context,
+            const Expected<std::unique_ptr<Host>> &Started) {
+  if (!Started) {
     log(LogLevel::Error, "start_failed",
-        {{"step", Host.error().Step},
-         {"peer", Host.error().Peer},
-         {"error", Host.error().Message}});
+        {{"step", Started.error().Step},
+         {"peer", Started.error().Peer},
+         {"error", Started.error().Message}});
     return Failure;
   }
-  spawn(Context.get_executor(), "signals", stopOnSignal(Context, **Host));
-  spawn(Context.get_executor(), "entry_host", serve(Context, **Host));
+  spawn(Context.get_executor(), "signals", stopOnSignal(Context, **Started));
+  spawn(Context.get_executor(), "entry_host", serve(Context, **Started));
   Context.run();
   log(LogLevel::Info, "stopped");
   return Success;
 }
 
+int runRequests(const entryhost::Settings &Settings, const std::string &) {
+  initLogging({.Threshold = Settings.LogThreshold,
+               .Program = "buckthorndeck/" + Settings.Name.value()});
+  boost::asio::io_context Context(1);
+  return runHost(Context, entryhost::EntryHost::start(Context.get_executor(),
+                                                      Settings));
+}
+
+int runPackets(const entryhost::PacketSettings &Settings,
+               const std::string &File) {
+  initLogging({.Threshold = Settings.LogThreshold,
+               .Program = "buckthorndeck/" + Settings.Name.value(),
+               .Target = LogTarget::StandardOutput,
+               .LinesPerSecond = Settings.LogLinesPerSecond});
+  boost::asio::io_context Context(1);
+  spawn(Context.get_executor(), "reload", reloadOnSignal(Context, File));
+  return runHost(Context,
+                 entryhost::PacketHost::start(
+                     Context.get_executor(), Settings, platform::packetFormat(),
+                     platform::storeCalls(Settings.Store,
+                                          Settings.StoreTimeout)));
+}
+
+//! Loads the settings and runs the program, or only checks them.
+template <typename Loader, typename Runner>
+int loadAndRun(const std::string &File, bool CheckOnly, Loader Load,
+               Runner Run) {
+  const auto Settings = Load(File);
+  if (!Settings) {
+    for (const SchemaError &Violation : Settings.error())
+      std::cerr << "buckthorndeck: " << describe(Violation) << "\n";
+    return WrongUsage;
+  }
+  if (CheckOnly) {
+    std::cout << File << ": the settings are good\n";
+    return Success;
+  }
+  return Run(*Settings, File);
+}
+
+//! The settings file that was given or that the environment names.
+std::string settingsFile(const docopt::value &Given) {
+  if (Given)
+    return Given.asString();
+  const char *Named = std::getenv("BUCKTHORNDECK_CONFIG");
+  return Named ? Named : "";
+}
+
 } // namespace
 
 int main(int Count, char **Values) {
@@ -114,20 +198,22 @@
   const auto Given = parseArguments(Count, Values, Code);
   if (!Given)
     return Code;
+  const bool Packets = Given->at("packets").asBool();
   if (Given->at("--describe-settings").asBool()) {
-    std::cout << entryhost::describeSettings();
+    std::cout << (Packets ? entryhost::describeSchema(
+                                entryhost::packetSettingsSchema())
+                          : entryhost::describeSettings());
     return Success;
   }
-  const std::string File = Given->at("--settings").asString();
-  const auto Settings = entryhost::loadSettings(File);
-  if (!Settings) {
-    for (const SchemaError &Violation : Settings.error())
-      std::cerr << "buckthorndeck: " << describe(Violation) << "\n";
+  const bool CheckOnly = Given->at("--check").asBool();
+  const std::string File = settingsFile(Given->at("--settings"));
+  if (File.empty()) {
+    std::cerr << "buckthorndeck: --settings or BUCKTHORNDECK_CONFIG must name "
+                 "the settings file\n";
     return WrongUsage;
   }
-  if (Given->at("--check").asBool()) {
-    std::cout << File << ": the settings are good\n";
-    return Success;
-  }
-  return run(*Settings);
+  if (Packets)
+    return loadAndRun(File, CheckOnly, entryhost::loadPacketSettings,
+                      runPackets);
+  return loadAndRun(File, CheckOnly, entryhost::loadSettings, runRequests);
 }
--- /dev/null
+++ b/packages/entryhost/src/buckthorndeck/entryhost/PacketHost.cpp
@@ -0,0 +1,278 @@
+#include "buckthorndeck/entryhost/PacketHost.h"
+
+#include "buckthorndeck/base/Log.h"
+#include "buckthorndeck/entryhost/PacketMetrics.h"
+#include "buckthorndeck/forwarding/Forwarder.h"
+#include "buckthorndeck/forwarding/RegistryFeed.h"
+#include "buckthorndeck/net/DatagramBatch.h"
+#include "buckthorndeck/net/HttpServer.h"
+#include "buckthorndeck/net/Notifier.h"
+#include "buckthorndeck/net/TcpProbe.h"
+
+#include <algorithm>
+
+namespace buckthorndeck::entryhost {
+
+using forwarding::FlowKey;
+using forwarding::Forwarder;
+using forwarding::ForwarderWork;
+using forwarding::PacketAction;
+using forwarding::PacketFormat;
+using forwarding::PacketHeader;
+using forwarding::Server;
+using forwarding::ServerToken;
+using forwarding::Verdict;
+
+namespace {
+
+//! Datagrams handled by one wake-up before other tasks run.
+constexpr std::size_t BatchCapacity = 32;
+//! A full packet is 1,234 bytes; longer datagrams are refused by the decoder.
+constexpr std::size_t PacketBufferBytes = 1300;
+//! A connection takes one round trip of a few ms and, on a busy host, its share
+//! of processor time.
+constexpr Milliseconds HealthCheckTimeout{100};
+//! Due work is done in steps of this size, to share wake-ups.
+constexpr Milliseconds TimerStep{10};
+//! Routers ask twice a second and take a host out after two misses.
+constexpr Milliseconds RouterReaction{1250};
+//! Without packets for this time the routers have moved on.
+constexpr Milliseconds QuietTime{400};
+constexpr Milliseconds StopPollInterval{100};
+
+} // namespace
+
+struct PacketHost::Parts {
+  Parts(const Executor &Where, const PacketSettings &Options,
+        const PacketFormat &Format, forwarding::RegistrySource Source,
+        UdpSocket Packets, HttpServer Ready, HttpServer MetricsServer)
+      : Where(Where), Options(Options), Format(Format),
+        Packets(std::move(Packets)), Ready(std::move(Ready)),
+        MetricsServer(std::move(MetricsServer)),
+        Batch({.Capacity = BatchCapacity,
+               .HeadroomBytes = Format.ServerPrefixBytes,
+               .DatagramBytes = PacketBufferBytes}),
+        Decisions({.Domain = Options.FailureDomain,
+                   .DomainCount = Options.FailureDomainCount,
+                   .FlowLifetime = Options.FlowLifetime,
+                   .RandomSeed = Options.RandomSeed}),
+        Feed(Where,
+             {.WatchWait = Options.WatchWait,
+              .ChangePause = Options.ChangePause,
+              .RandomSeed = Options.RandomSeed + 1},
+             std::move(Source), Decisions),
+        Timer(Where), Stopped(Where) {}
+
+  Task<> receivePackets();
+  Task<> runTimer();
+  Task<> checkServer(ServerToken Token, TcpEndpoint Address);
+  Task<std::optional<HttpResponse>> answerReady(HttpRequest Request);
+  Task<std::optional<HttpResponse>> answerMetrics(HttpRequest Request);
+  void handle(std::size_t Index, TimePoint Now);
+  void sendReset(const FlowKey &Flow, std::uint32_t Sequence);
+  void sendToServer(ByteView Packet, const Server &Target);
+  void doWork(TimePoint Now);
+  bool isReady() const;
+
+  Executor Where;
+  PacketSettings Options;
+  PacketFormat Format;
+  UdpSocket Packets;
+  HttpServer Ready;
+  HttpServer MetricsServer;
+  DatagramBatch Batch;
+  Forwarder Decisions;
+  forwarding::RegistryFeed Feed;
+  Notifier Timer;
+  Notifier Stopped;
+  TimePoint TimerDue = TimePoint::max(); //!< What the timer task waits for.
+  TimePoint PacketAt;                    //!< Of the last packet.
+  PacketHostState State;
+  bool Stopping = false;
+};
+
+PacketHost::PacketHost(std::unique_ptr<Parts> Owned)
+    : Owned(std::move(Owned)) {}
+PacketHost::~PacketHost() = default;
+
+Expected<std::unique_ptr<PacketHost>>
+PacketHost::start(const Executor &Where, const PacketSettings &Options,
+                  const PacketFormat &Format,
+                  forwarding::RegistrySource Source) {
+  auto Packets = UdpSocket::bind(Where, Options.PacketListen);
+  if (!Packets)
+    return Unexpected(Packets.error());
+  auto Ready = HttpServer::bind(Where, Options.ReadyListen);
+  if (!Ready)
+    return Unexpected(Ready.error());
+  auto MetricsServer = HttpServer::bind(Where, Options.MetricsListen);
+  if (!MetricsServer)
+    return Unexpected(MetricsServer.error());
+  return std::unique_ptr<PacketHost>(new PacketHost(std::make_unique<Parts>(
+      Where, Options, Format, std::move(Source), std::move(*Packets),
+      std::move(*Ready), std::move(*MetricsServer))));
+}
+
+bool PacketHost::Parts::isReady() const {
+  return !Stopping && Decisions.ready(Clock::now());
+}
+
+void PacketHost::Parts::sendReset(const FlowKey &Flow,
+                                  std::uint32_t Sequence) {
+  const Bytes Packet = Format.encodeReset(Flow, Sequence);
+  const UdpEndpoint Receiver(boost::asio::ip::address_v4(Flow.Caller.Ip),
+                             Options.PacketListen.port());
+  if (!Packets.send(Packet, Receiver))
+    ++State.SendsDropped;
+}
+
+void PacketHost::Parts::handle(std::size_t Index, TimePoint Now) {
+  const std::span<std::uint8_t> Packet = Batch.datagram(Index);
+  const std::optional<PacketHeader> Header = Format.decode(Packet);
+  if (!Header) {
+    ++State.Undecodable;
+    log(LogLevel::Debug, "packet_undecodable", {{"bytes", Packet.size()}});
+    return;
+  }
+  PacketAt = Now;
+  const Verdict Result = Decisions.handle(Packet, *Header, Now);
+  if (Result.Action == PacketAction::Reset)
+    sendReset(Header->Flow, Header->Acknowledged);
+  if (Result.Action != PacketAction::Forward)
+    return;
+  if (Header->Open)
+    Format.writeToken(Packet, Result.Target->Token);
+  const auto Datagram = Batch.withHeadroom(Index, Format.ServerPrefixBytes);
+  Format.writeServerPrefix(Datagram.first(Format.ServerPrefixBytes),
+                           Result.Target->Record.Id.value());
+  Batch.queue(Packets, Datagram, Result.Target->Record.Address);
+}
+
+Task<> PacketHost::Parts::receivePackets() {
+  while (!Stopping || Packets.isOpen()) {
+    const bool Readable = co_await Packets.waitReadable();
+    if (!Readable)
+      co_return;
+    const TimePoint Now = Clock::now();
+    const std::size_t Count = Batch.receive(Packets);
+    for (std::size_t Index = 0; Index < Count; ++Index)
+      handle(Index, Now);
+    State.SendsDropped += Batch.flush(Packets);
+    doWork(Now);
+  }
+}
+
+//! Sends a copy of a packet that was kept.
+void PacketHost::Parts::sendToServer(ByteView Packet, const Server &Target) {
+  Bytes Datagram(Format.ServerPrefixBytes + Packet.size());
+  const std::span<std::uint8_t> Whole(Datagram);
+  std::copy(Packet.begin(), Packet.end(),
+            Datagram.begin() +
+                static_cast<std::ptrdiff_t>(Format.ServerPrefixBytes));
+  Format.writeServerPrefix(Whole.first(Format.ServerPrefixBytes),
+                           Target.Record.Id.value());
+  Format.writeToken(Whole.subspan(Format.ServerPrefixBytes), Target.Token);
+  if (!Packets.send(Datagram, Target.Record.Address))
+    ++State.SendsDropped;
+}
+
+void PacketHost::Parts::doWork(TimePoint Now) {
+  const ForwarderWork Work = Decisions.takeWork(Now);
+  for (const auto &Outgoing : Work.Packets)
+    if (const Server *Target = Decisions.servers().find(Outgoing.Target))
+      sendToServer(Outgoing.Packet, *Target);
+  for (const auto &Reset : Work.Resets)
+    sendReset(Reset.Flow, Reset.Sequence);
+  for (const ServerToken Token : Work.Checks)
+    if (const Server *Target = Decisions.servers().find(Token))
+      spawn(Where, "health_check",
+            checkServer(Token, TcpEndpoint(Target->Record.Address.address(),
+                                           Target->Record.Address.port())));
+  if (Decisions.takeRefreshWish())
+    Feed.refresh();
+  if (Decisions.nextDue() < TimerDue)
+    Timer.notifyAll();
+}
+
+Task<> PacketHost::Parts::runTimer() {
+  while (!Stopping || Packets.isOpen()) {
+    const TimePoint Soonest = Clock::now() + TimerStep;
+    TimerDue = std::max(Decisions.nextDue(), Soonest);
+    co_await Timer.waitUntil(TimerDue);
+    TimerDue = TimePoint::min();
+    doWork(Clock::now());
+  }
+}
+
+Task<> PacketHost::Parts::checkServer(ServerToken Token, TcpEndpoint Address) {
+  const TimePoint Started = Clock::now();
+  const ProbeResult Result = co_await probeTcp(Address, HealthCheckTimeout);
+  const TimePoint Now = Clock::now();
+  Decisions.recordCheck(Token, Result, Started, Now);
+  doWork(Now);
+}
+
+Task<std::optional<HttpResponse>>
+PacketHost::Parts::answerReady(HttpRequest Request) {
+  HttpResponse Answer;
+  if (Request.Target != Options.ReadyPath)
+    Answer.Status = 404;
+  else
+    Answer.Status = isReady() ? 200 : 503;
+  co_return Answer;
+}
+
+Task<std::optional<HttpResponse>>
+PacketHost::Parts::answerMetrics(HttpRequest Request) {
+  HttpResponse Answer;
+  if (Request.Target != "/metrics") {
+    Answer.Status = 404;
+    co_return Answer;
+  }
+  State.StoreCalls = Feed.calls();
+  State.StoreAnswerAgeSeconds =
+      std::chrono::duration<double>(Clock::now() - Feed.answeredAt()).count();
+  State.Ready = isReady();
+  Answer.ContentType = "text/plain; version=0.0.4";
+  Answer.Body = formatMetrics(Decisions, State);
+  co_return Answer;
+}
+
+Task<> PacketHost::run() {
+  Parts &Host = *Owned;
+  log(LogLevel::Info, "started",
+      {{"failure_domain", Host.Options.FailureDomain.value()},
+       {"packets", toString(Host.Packets.localEndpoint())},
+       {"store", toString(Host.Options.Store)}});
+  spawn(Host.Where, "registry_feed", Host.Feed.run());
+  spawn(Host.Where, "readiness", Host.Ready.serve([&Host](HttpRequest Request) {
+    return Host.answerReady(std::move(Request));
+  }));
+  spawn(Host.Where, "metrics",
+        Host.MetricsServer.serve([&Host](HttpRequest Request) {
+          return Host.answerMetrics(std::move(Request));
+        }));
+  spawn(Host.Where, "packets", Host.receivePackets());
+  spawn(Host.Where, "timer", Host.runTimer());
+  co_await Host.Stopped.wait();
+}
+
+Task<> PacketHost::stop() {
+  Parts &Host = *Owned;
+  Host.Stopping = true;
+  const TimePoint Started = Clock::now();
+  const TimePoint Latest = Started + Host.Options.StopGrace;
+  while (true) {
+    co_await sleepFor(StopPollInterval);
+    const TimePoint Now = Clock::now();
+    const bool Quiet = Now - Started >= RouterReaction &&
+                       Now - Host.PacketAt >= QuietTime;
+    if (Quiet || Now >= Latest)
+      break;
+  }
+  Host.Feed.stop();
+  Host.Packets.close();
+  Host.Stopped.notifyAll();
+}
+
+} // namespace buckthorndeck::entryhost
--- /dev/null
+++ b/packages/entryhost/src/buckthorndeck/entryhost/PacketMetrics.cpp
@@ -0,0 +1,123 @@
+#include "buckthorndeck/entryhost/PacketMetrics.h"
+
+#include <prometheus/metric_family.h>
+#include <prometheus/text_serializer.h>
+
+namespace buckthorndeck::entryhost {
+
+using forwarding::Refusal;
+using prometheus::ClientMetric;
+using prometheus::MetricFamily;
+using prometheus::MetricType;
+
+namespace {
+
+//! Collects families; the values are read only when somebody asks for them, so
+//! that counting costs nothing but an increment.
+class FamilyList {
+public:
+  MetricFamily &add(const char *Name, const char *Help, MetricType Type) {
+    Families.push_back({.name = Name, .help = Help, .type = Type});
+    return Families.back();
+  }
+
+  void counter(const char *Name, const char *Help, std::uint64_t Value) {
+    addCounter(add(Name, Help, MetricType::Counter), "", "", Value);
+  }
+
+  void gauge(const char *Name, const char *Help, double Value) {
+    ClientMetric Metric;
+    Metric.gauge.value = Value;
+    add(Name, Help, MetricType::Gauge).metric.push_back(Metric);
+  }
+
+  static void addCounter(MetricFamily &Family, const char *Label,
+                         const char *LabelValue, std::uint64_t Value) {
+    ClientMetric Metric;
+    if (*Label != '\0')
+      Metric.label.push_back({.name = Label, .value = LabelValue});
+    Metric.counter.value = static_cast<double>(Value);
+    Family.metric.push_back(Metric);
+  }
+
+  std::string text() const {
+    return prometheus::TextSerializer().Serialize(Families);
+  }
+
+private:
+  std::vector<MetricFamily> Families;
+};
+
+void addRefused(FamilyList &Out, const forwarding::ForwarderCounters &Counters,
+                const PacketHostState &State) {
+  MetricFamily &Refused =
+      Out.add("buckthorndeck_packets_refused_total",
+              "Packets that were not forwarded, by reason",
+              MetricType::Counter);
+  for (std::size_t Index = 1; Index < forwarding::RefusalCount; ++Index)
+    FamilyList::addCounter(Refused, "reason",
+                           toString(static_cast<Refusal>(Index)),
+                           Counters.Refused[Index]);
+  FamilyList::addCounter(Refused, "reason", "undecodable", State.Undecodable);
+}
+
+void addServers(FamilyList &Out, forwarding::Forwarder &Source) {
+  std::uint64_t Registered = 0;
+  std::uint64_t Silent = 0;
+  Source.servers().forEach([&](const forwarding::Server &Known) {
+    Registered += Known.Registered ? 1 : 0;
+    Silent += Known.State == forwarding::Reachability::Silent ? 1 : 0;
+  });
+  Out.gauge("buckthorndeck_servers_registered",
+            "Backend servers with a registry entry",
+            static_cast<double>(Registered));
+  Out.gauge("buckthorndeck_servers_silent",
+            "Backend servers that do not answer this host",
+            static_cast<double>(Silent));
+}
+
+} // namespace
+
+std::string formatMetrics(forwarding::Forwarder &Source,
+                          const PacketHostState &State) {
+  const forwarding::ForwarderCounters &Counters = Source.counters();
+  FamilyList Out;
+  Out.counter("buckthorndeck_packets_forwarded_total",
+              "Packets sent to backend servers", Counters.Forwarded);
+  addRefused(Out, Counters, State);
+  Out.counter("buckthorndeck_flows_opened_total", "Flows placed on a server",
+              Counters.Opened);
+  Out.counter("buckthorndeck_flows_established_total",
+              "Flows whose server answered the open", Counters.Established);
+  Out.counter("buckthorndeck_open_copies_total",
+              "Opens repeated by callers", Counters.OpenCopies);
+  Out.counter("buckthorndeck_opens_hedged_total",
+              "Opens that this host sent to a further server",
+              Counters.Hedged);
+  Out.counter("buckthorndeck_retransmissions_total",
+              "Data that callers sent again", Counters.Retransmissions);
+  Out.counter("buckthorndeck_flows_reset_total",
+              "Flows reset because their server went silent",
+              Counters.FlowsReset);
+  Out.counter("buckthorndeck_health_checks_total",
+              "Connections to doubted servers", Counters.Checks);
+  Out.counter("buckthorndeck_servers_silenced_total",
+              "Times that a server was found silent",
+              Counters.ServersSilenced);
+  Out.counter("buckthorndeck_sends_dropped_total",
+              "Datagrams that the kernel did not take", State.SendsDropped);
+  Out.counter("buckthorndeck_store_calls_total", "Calls to the platform's store",
+              State.StoreCalls);
+  Out.gauge("buckthorndeck_store_answer_age_seconds",
+            "Time since the store last answered", State.StoreAnswerAgeSeconds);
+  Out.gauge("buckthorndeck_config_version", "Configuration in force",
+            static_cast<double>(Source.routes().version().value()));
+  Out.gauge("buckthorndeck_flows", "Flows in the flow table",
+            static_cast<double>(Source.flowCount()));
+  Out.gauge("buckthorndeck_ready", "1 while this host takes packets",
+            State.Ready ? 1 : 0);
+  addServers(Out, Source);
+  return Out.text();
+}
+
+} // namespace buckthorndeck::entryhost
--- /dev/null
+++ b/packages/entryhost/src/buckthorndeck/entryhost/PacketSettings.cpp
@@ -0,0 +1,96 @@
+#include "buckthorndeck/entryhost/PacketSettings.h"
+
+#include "buckthorndeck/entryhost/SettingsReader.h"
+
+namespace buckthorndeck::entryhost {
+
+namespace {
+
+constexpr const char *SchemaText = R"json({
+  "type": "object",
+  "required": ["name", "failure_domain", "failure_domains", "packet_listen",
+               "ready_listen", "ready_path", "metrics_listen", "store"],
+  "properties": {
+    "name": {"type": "string", "minLength": 1, "maxLength": 200,
+      "description": "name of this entry host, unique in the fleet"},
+    "failure_domain": {"type": "string", "minLength": 1, "maxLength": 200,
+      "description": "failure domain that this entry host is in"},
+    "failure_domains": {"type": "array", "minItems": 1,
+      "items": {"type": "string"},
+      "description": "all failure domains of the deployment"},
+    "packet_listen": {"type": "string",
+      "pattern": "^[0-9.]{7,15}:[0-9]{1,5}$",
+      "description": "UDP address for callers' packets; callers receive packets at the same port"},
+    "ready_listen": {"type": "string",
+      "pattern": "^[0-9.]{7,15}:[0-9]{1,5}$",
+      "description": "TCP address that says whether this host takes packets"},
+    "ready_path": {"type": "string", "pattern": "^/",
+      "description": "path that answers with 200 while this host takes packets, else with 503"},
+    "metrics_listen": {"type": "string",
+      "pattern": "^[0-9.]{7,15}:[0-9]{1,5}$",
+      "description": "TCP address of the Prometheus endpoint"},
+    "store": {"type": "string", "pattern": "^[0-9.]{7,15}:[0-9]{1,5}$",
+      "description": "TCP address of the platform's store"},
+    "stop_grace_ms": {"type": "integer", "minimum": 0, "maximum": 600000,
+      "default": 5000,
+      "description": "ms after SIGTERM until which packets may still arrive"},
+    "flow_lifetime_s": {"type": "integer", "minimum": 1, "maximum": 86400,
+      "default": 60,
+      "description": "s for which the servers of open flows are remembered after they left the registry"},
+    "store_timeout_ms": {"type": "integer", "minimum": 10, "maximum": 60000,
+      "default": 1000,
+      "description": "ms until a call to the store counts as lost; a watch gets its wait in addition"},
+    "watch_wait_ms": {"type": "integer", "minimum": 100, "maximum": 30000,
+      "default": 4000,
+      "description": "ms that a watch waits for a change"},
+    "change_pause_ms": {"type": "integer", "minimum": 0, "maximum": 30000,
+      "default": 1000,
+      "description": "ms between a change and the next watch, so that several changes arrive by one call"},
+    "log_level": {"type": "string", "enum": ["debug", "info", "warn", "error"],
+      "default": "info",
+      "description": "least severe log level that is written"},
+    "log_lines_per_s": {"type": "integer", "minimum": 1, "maximum": 100000,
+      "default": 200,
+      "description": "log lines written in a second at most; others are counted"},
+    "random_seed": {"type": "integer", "minimum": 0, "default": 0,
+      "description": "seed for load spreading and jitter; 0 draws one from the system"}
+  }
+})json";
+
+PacketSettings readSettings(SettingsReader &Reader) {
+  PacketSettings Result;
+  Result.Name = EntryHostName(Reader.text("name"));
+  Result.FailureDomain = FailureDomainName(Reader.text("failure_domain"));
+  Result.FailureDomainCount = Reader.count("failure_domains");
+  Result.PacketListen = Reader.udp("packet_listen");
+  Result.ReadyListen = Reader.tcp("ready_listen");
+  Result.ReadyPath = Reader.text("ready_path");
+  Result.MetricsListen = Reader.tcp("metrics_listen");
+  Result.Store = Reader.tcp("store");
+  Result.StopGrace = Milliseconds(Reader.value<unsigned>("stop_grace_ms"));
+  Result.FlowLifetime =
+      std::chrono::seconds(Reader.value<unsigned>("flow_lifetime_s"));
+  Result.StoreTimeout =
+      Milliseconds(Reader.value<unsigned>("store_timeout_ms"));
+  Result.WatchWait = Milliseconds(Reader.value<unsigned>("watch_wait_ms"));
+  Result.ChangePause = Milliseconds(Reader.value<unsigned>("change_pause_ms"));
+  Result.LogThreshold = Reader.logLevel("log_level");
+  Result.LogLinesPerSecond = Reader.value<unsigned>("log_lines_per_s");
+  Result.RandomSeed = Reader.seed("random_seed");
+  return Result;
+}
+
+} // namespace
+
+const Json &packetSettingsSchema() {
+  static const Json Schema = Json::parse(SchemaText);
+  return Schema;
+}
+
+tl::expected<PacketSettings, std::vector<SchemaError>>
+loadPacketSettings(const std::string &File) {
+  return loadSettingsFile<PacketSettings>(File, packetSettingsSchema(),
+                                          readSettings);
+}
+
+} // namespace buckthorndeck::entryhost
--- /dev/null
+++ b/packages/entryhost/src/buckthorndeck/entryhost/PacketSettings.h
@@ -0,0 +1,45 @@
+#ifndef BUCKTHORNDECK_ENTRYHOST_PACKETSETTINGS_H
+#define BUCKTHORNDECK_ENTRYHOST_PACKETSETTINGS_H
+
+#include "buckthorndeck/base/Ids.h"
+#include "buckthorndeck/base/JsonSchema.h"
+#include "buckthorndeck/base/Log.h"
+#include "buckthorndeck/net/Endpoint.h"
+#include "buckthorndeck/net/Task.h"
+
+#include <string>
+#include <vector>
+
+namespace buckthorndeck::entryhost {
+
+//! Settings of an entry host that forwards packets.
+struct PacketSettings {
+  EntryHostName Name;
+  FailureDomainName FailureDomain;
+  std::size_t FailureDomainCount = 1;
+  UdpEndpoint PacketListen;
+  TcpEndpoint ReadyListen;
+  std::string ReadyPath;
+  TcpEndpoint MetricsListen;
+  TcpEndpoint Store;
+  Milliseconds StopGrace{};
+  std::chrono::seconds FlowLifetime{};
+  Milliseconds StoreTimeout{};
+  Milliseconds WatchWait{};
+  Milliseconds ChangePause{};
+  LogLevel LogThreshold = LogLevel::Info;
+  unsigned LogLinesPerSecond = 0;
+  std::uint64_t RandomSeed = 0;
+};
+
+//! JSON Schema of the settings file. Unknown fields are ignored, since the
+//! platform that writes the file may add some.
+const Json &packetSettingsSchema();
+
+//! Reads and checks a settings file; every error names its field.
+tl::expected<PacketSettings, std::vector<SchemaError>>
+loadPacketSettings(const std::string &File);
+
+} // namespace buckthorndeck::entryhost
+
+#endif // BUCKTHORNDECK_ENTRYHOST_PACKETSETTINGS_H
--- a/packages/entryhost/src/buckthorndeck/entryhost/Settings.cpp
+++ b/packages/entryhost/src/buckthorndeck/entryhost/Settings.cpp
@@ -1,6 +1,6 @@
 #include "buckthorndeck/entryhost/Settings.h"
 
-#include <random>
+#include "buckthorndeck/entryhost/SettingsReader.h"
 
 namespace buckthorndeck::entryhost {
 
@@ -59,71 +59,6 @@
   }
 })json";
 
-LogLevel parseLogLevel(const std::string &Text) {
-  if (Text == "debug")
-    return LogLevel::Debug;
-  if (Text == "warn")
-    return LogLevel::Warn;
-  if (Text == "error")
-    return LogLevel::Error;
-  return LogLevel::Info;
-}
-
-//! Reads what a schema cannot check and collects the errors.
-class SettingsReader {
-public:
-  SettingsReader(const std::string &File, const Json &Document,
-                 std::vector<SchemaError> &Errors)
-      : File(File), Document(Document), Errors(Errors) {}
-
-  TcpEndpoint tcp(const char *Key) {
-    return unwrap(Key, parseTcpEndpoint(text(Key), "read settings"));
-  }
-
-  UdpEndpoint udp(const char *Key) {
-    return unwrap(Key, parseUdpEndpoint(text(Key), "read settings"));
-  }
-
-  std::vector<UdpEndpoint> udpList(const char *Key) {
-    std::vector<UdpEndpoint> Result;
-    for (const Json &Item : Document.value(Key, Json::array()))
-      Result.push_back(unwrap(
-          Key, parseUdpEndpoint(Item.get<std::string>(), "read settings")));
-    return Result;
-  }
-
-  std::string text(const char *Key) const {
-    return Document.value(Key, std::string());
-  }
-
-  template <typename T> T value(const char *Key) const {
-    const Json &Default = settingsSchema()["properties"][Key]["default"];
-    return Document.value(Key, Default.get<T>());
-  }
-
-private:
-  template <typename T> T unwrap(const char *Key, const Expected<T> &Value) {
-    if (Value)
-      return *Value;
-    Errors.push_back({.File = File,
-                      .Key = Key,
-                      .Found = Document.at(Key).dump(),
-                      .Expected = Value.error().Message});
-    return T();
-  }
-
-  const std::string &File;
-  const Json &Document;
-  std::vector<SchemaError> &Errors;
-};
-
-std::uint64_t chooseSeed(std::uint64_t Configured) {
-  if (Configured != 0)
-    return Configured;
-  std::random_device Device;
-  return (static_cast<std::uint64_t>(Device()) << 32) | Device();
-}
-
 Settings readSettings(SettingsReader &Reader) {
   Settings Result;
   Result.Name = EntryHostName(Reader.text("name"));
@@ -136,12 +71,12 @@
   Result.FleetKey = parseMacKey(Reader.text("fleet_key")).value_or(MacKey{});
   Result.Platform = Reader.tcp("platform");
   Result.Seeds = Reader.udpList("seeds");
-  Result.LogThreshold = parseLogLevel(Reader.value<std::string>("log_level"));
+  Result.LogThreshold = Reader.logLevel("log_level");
   Result.TokenLifetime =
       Milliseconds(Reader.value<std::uint64_t>("token_lifetime_ms"));
   Result.LedgerEntries = Reader.value<std::uint32_t>("ledger_entries");
   Result.MaxFeeds = Reader.value<std::uint32_t>("max_feeds");
-  Result.RandomSeed = chooseSeed(Reader.value<std::uint64_t>("random_seed"));
+  Result.RandomSeed = Reader.seed("random_seed");
   Result.PortsFile = Reader.value<std::string>("ports_file");
   return Result;
 }
@@ -155,46 +90,9 @@
 
 tl::expected<Settings, std::vector<SchemaError>>
 loadSettings(const std::string &File) {
-  const auto Document = readJsonFile(File);
-  if (!Document) {
-    const SchemaError Failure{.File = File,
-                              .Found = Document.error().Message,
-                              .Expected = "a JSON document"};
-    return tl::unexpected(std::vector<SchemaError>{Failure});
-  }
-  std::vector<SchemaError> Errors =
-      checkSchema(File, *Document, settingsSchema());
-  if (!Errors.empty())
-    return tl::unexpected(std::move(Errors));
-  SettingsReader Reader(File, *Document, Errors);
-  Settings Result = readSettings(Reader);
-  if (!Errors.empty())
-    return tl::unexpected(std::move(Errors));
-  return Result;
+  return loadSettingsFile<Settings>(File, settingsSchema(), readSettings);
 }
 
-std::string describeSettings() {
-  std::string Table = "| setting | type | range | default | meaning |\n"
-                      "|---|---|---|---|---|\n";
-  const Json &Required = settingsSchema()["required"];
-  for (const auto &[Name, Rule] : settingsSchema()["properties"].items()) {
-    const bool IsRequired =
-        std::find(Required.begin(), Required.end(), Name) != Required.end();
-    std::string Range = "-";
-    if (Rule.contains("minimum"))
-      Range = Rule["minimum"].dump() + " to " +
-              (Rule.contains("maximum") ? Rule["maximum"].dump() : "2^64 - 1");
-    if (Rule.contains("enum"))
-      Range = Rule["enum"].dump();
-    const std::string Default = IsRequired ? "required"
-                                : Rule.contains("default")
-                                    ? "`" + Rule["default"].dump() + "`"
-                                    : "none";
-    Table += "| `" + Name + "` | " + Rule["type"].get<std::string>() + " | " +
-             Range + " | " + Default + " | " +
-             Rule["description"].get<std::string>() + " |\n";
-  }
-  return Table;
-}
+std::string describeSettings() { return describeSchema(settingsSchema()); }
 
 } // namespace buckthorndeck::entryhost
--- /dev/null
+++ b/packages/forwarding/src/buckthorndeck/forwarding/Forwarder.cpp
@@ -0,0 +1,543 @@
+#include "buckthorndeck/forwarding/Forwarder.h"
+
+#include "buckthorndeck/base/Log.h"
+
+#include <algorithm>
+
+namespace buckthorndeck::forwarding {
+
+namespace {
+
+//! A server answers an open within a round trip of a few ms; callers repeat it
+//! only after 200 ms, and the shortest latency target is 120 ms.
+constexpr Milliseconds HandshakeTimeout{40};
+//! Servers that one open is sent to without the caller's doing.
+constexpr std::size_t MaxOpenAttempts = 3;
+//! An open that is handled later than this was delayed by this host itself.
+constexpr Milliseconds StaleOpen{150};
+//! Most requests take less than half of this; longer ones cost a health check.
+constexpr Milliseconds ResponseDoubtTime{100};
+//! Pause between health checks of a server that answers them.
+constexpr Milliseconds CheckPause{500};
+//! Pause between health checks of a silent server.
+constexpr Milliseconds SilentCheckPause{1000};
+//! Without any sign of any server for this time the fault is on this side.
+constexpr Milliseconds IsolationTime{1000};
+//! Copies of an open arrive up to 600 ms after it.
+constexpr Milliseconds OpeningLifetime{1500};
+//! Late packets of a flow that both ends have closed arrive within this time.
+constexpr Milliseconds FinishedLifetime{2000};
+constexpr Milliseconds SweepInterval{1000};
+//! Weight of a new sample in the moving average of response times.
+constexpr double ResponseSampleWeight = 0.1;
+
+std::string tokenText(ServerToken Token) {
+  return std::to_string(Token.value());
+}
+
+std::int64_t ageMs(TimePoint Then, TimePoint Now) {
+  if (Then == TimePoint{})
+    return -1;
+  return std::chrono::duration_cast<Milliseconds>(Now - Then).count();
+}
+
+} // namespace
+
+const char *toString(Refusal Reason) {
+  switch (Reason) {
+  case Refusal::None:
+    return "none";
+  case Refusal::NotReady:
+    return "not_ready";
+  case Refusal::NoRoute:
+    return "no_route";
+  case Refusal::RouteRemoved:
+    return "route_removed";
+  case Refusal::NoServer:
+    return "no_server";
+  case Refusal::UnknownToken:
+    return "unknown_token";
+  case Refusal::ServerSilent:
+    return "server_silent";
+  case Refusal::ServerReplaced:
+    return "server_replaced";
+  }
+  return "unknown";
+}
+
+Forwarder::Forwarder(const ForwarderOptions &Options)
+    : Options(Options), Random(Options.RandomSeed) {}
+
+Verdict Forwarder::refuse(PacketAction Action, Refusal Reason,
+                          const FlowKey &Flow, const Server *Target) {
+  ++Counters.Refused[static_cast<std::size_t>(Reason)];
+  log(LogLevel::Info, "packet_refused",
+      {{"flow", toString(Flow)},
+       {"reason", toString(Reason)},
+       {"reset", Action == PacketAction::Reset},
+       {"server", Target ? Target->Record.Name : ""},
+       {"config_version", Routes.version().value()}});
+  return {.Action = Action, .Reason = Reason};
+}
+
+Verdict Forwarder::handle(ByteView Packet, const PacketHeader &Header,
+                          TimePoint Now) {
+  if (Routes.version() == ConfigVersion())
+    return refuse(PacketAction::Drop, Refusal::NotReady, Header.Flow, nullptr);
+  if (Header.Open)
+    return handleOpen(Packet, Header, Now);
+  if (Routes.isRemoved(Header.Flow.Service))
+    return refuse(PacketAction::Reset, Refusal::RouteRemoved, Header.Flow,
+                  nullptr);
+  Server *Target = Servers.find(Header.Token);
+  if (!Target) {
+    // The server may be newer than what this host knows.
+    RefreshWish = RefreshWish || Header.Token != ServerToken();
+    return refuse(PacketAction::Drop, Refusal::UnknownToken, Header.Flow,
+                  nullptr);
+  }
+  if (Header.Reset) {
+    eraseFlow(Header.Flow);
+  } else {
+    recordFlow(Header, *Target, Now);
+    const Refusal Reason = deadReason(*Target, Now);
+    if (Reason != Refusal::None) {
+      eraseFlow(Header.Flow);
+      return refuse(PacketAction::Reset, Reason, Header.Flow, Target);
+    }
+  }
+  ++Counters.Forwarded;
+  return {.Action = PacketAction::Forward, .Target = Target};
+}
+
+Refusal Forwarder::deadReason(const Server &Target, TimePoint Now) const {
+  if (!Target.Registered && Servers.isReplaced(Target))
+    return Refusal::ServerReplaced;
+  if (Target.State == Reachability::Silent && !isolated(Now))
+    return Refusal::ServerSilent;
+  return Refusal::None;
+}
+
+bool Forwarder::isolated(TimePoint Now) const {
+  return Now - AnsweredAt > IsolationTime;
+}
+
+Placement Forwarder::place(const FlowKey &Flow, const Route &Entry,
+                           std::span<const ServerToken> Tried, TimePoint Now) {
+  const ServiceName &Service = serviceOf(Entry, Flow);
+  return placeFlow(Servers.serversOf(Service),
+                   {.Domain = Options.Domain,
+                    .DomainCount = Options.DomainCount,
+                    .Tried = Tried,
+                    .Now = Now},
+                   Random);
+}
+
+Verdict Forwarder::handleOpen(ByteView Packet, const PacketHeader &Header,
+                              TimePoint Now) {
+  const Route *Entry = Routes.find(Header.Flow.Service);
+  if (!Entry)
+    return refuse(PacketAction::Reset, Refusal::NoRoute, Header.Flow, nullptr);
+  const auto Known = Openings.find(Header.Flow);
+  if (Known != Openings.end())
+    return repeatOpen(Known->second, Header, *Entry, Now);
+
+  const Placement Choice = place(Header.Flow, *Entry, {}, Now);
+  if (!Choice.Chosen)
+    return refuse(PacketAction::Reset, Refusal::NoServer, Header.Flow, nullptr);
+  Server &Target = *Choice.Chosen;
+  log(LogLevel::Info, "flow_placed",
+      {{"flow", toString(Header.Flow)},
+       {"server", Target.Record.Name},
+       {"token", tokenText(Target.Token)},
+       {"reason", toString(Choice.Reason)},
+       {"copy", Header.Acknowledged},
+       {"server_flows", Target.Flows},
+       {"response_ms", static_cast<std::int64_t>(Target.ResponseMs)},
+       {"server_revision", Target.Revision.value()},
+       {"config_version", Routes.version().value()}});
+  ++Counters.Opened;
+  ++Counters.Forwarded;
+  routing::recordRequest(HedgeBudget);
+  Openings[Header.Flow] = Opening{.Packet = Bytes(Packet.begin(), Packet.end()),
+                                  .Tried = {Target.Token},
+                                  .StartedAt = Now};
+  DueOpenings.push_back({.DueAt = Now + HandshakeTimeout,
+                         .Flow = Header.Flow});
+  Flow &Added = Flows[Header.Flow];
+  assign(Added, Target.Token);
+  Added = Flow{.Token = Target.Token, .SeenAt = Now, .Opening = true};
+  return {.Action = PacketAction::Forward, .Target = &Target};
+}
+
+Verdict Forwarder::repeatOpen(Opening &Known, const PacketHeader &Header,
+                              const Route &Entry, TimePoint Now) {
+  ++Counters.OpenCopies;
+  Server *Target = Servers.find(Known.Tried.back());
+  const bool Usable = Target && Target->Registered &&
+                      !Target->Record.Draining &&
+                      Target->State == Reachability::Reachable;
+  if (!Usable) {
+    const Placement Choice = place(Header.Flow, Entry, Known.Tried, Now);
+    if (Choice.Chosen) {
+      Target = Choice.Chosen;
+      Known.Tried.push_back(Target->Token);
+    }
+  }
+  if (!Target)
+    return refuse(PacketAction::Reset, Refusal::NoServer, Header.Flow, nullptr);
+  log(LogLevel::Info, "open_repeated",
+      {{"flow", toString(Header.Flow)},
+       {"server", Target->Record.Name},
+       {"copy", Header.Acknowledged},
+       {"servers_tried", Known.Tried.size()},
+       {"age_ms", ageMs(Known.StartedAt, Now)}});
+  Flow &Seen = Flows[Header.Flow];
+  assign(Seen, Target->Token);
+  Seen.Opening = true;
+  Seen.SeenAt = Now;
+  ++Counters.Forwarded;
+  return {.Action = PacketAction::Forward, .Target = Target};
+}
+
+//! Moves the flow's count from the server that it was on to Token's.
+void Forwarder::assign(Flow &Known, ServerToken Token) {
+  if (Known.Token == Token)
+    return;
+  releaseServer(Known.Token);
+  if (Server *After = Servers.find(Token))
+    ++After->Flows;
+  Known.Token = Token;
+}
+
+void Forwarder::eraseFlow(const FlowKey &Key) {
+  const auto Known = Flows.find(Key);
+  if (Known == Flows.end())
+    return;
+  releaseServer(Known->second.Token);
+  Flows.erase(Known);
+}
+
+void Forwarder::releaseServer(ServerToken Token) {
+  Server *Target = Servers.find(Token);
+  // A server that was forgotten and came back counts from 0.
+  if (Target && Target->Flows > 0)
+    --Target->Flows;
+}
+
+void Forwarder::recordFlow(const PacketHeader &Header, Server &Target,
+                           TimePoint Now) {
+  auto [Place, Added] = Flows.try_emplace(Header.Flow);
+  Flow &Known = Place->second;
+  if (Added) {
+    Known = adoptFlow(Header, Now);
+    ++Target.Flows;
+  }
+  assign(Known, Target.Token);
+  const FlowUpdate Update = recordPacket(Known, Header, Now);
+  if (Update.Established) {
+    ++Counters.Established;
+    Openings.erase(Header.Flow);
+  }
+  if (Update.Progress)
+    recordProgress(Target, Header.Flow, Update, Now);
+  if (Update.StartedWaiting)
+    DueResponses.push_back({.DueAt = Now + ResponseDoubtTime,
+                            .Flow = Header.Flow,
+                            .WaitingSince = Known.WaitingSince});
+  if (Update.Retransmission) {
+    ++Counters.Retransmissions;
+    doubt(Target, "retransmission", Now);
+  }
+}
+
+void Forwarder::recordProgress(Server &Target, const FlowKey &Key,
+                               const FlowUpdate &Update, TimePoint Now) {
+  Target.ProgressAt = Now;
+  AnsweredAt = Now;
+  if (Target.State != Reachability::Reachable) {
+    log(LogLevel::Info, "server_reachable",
+        {{"server", Target.Record.Name},
+         {"was", toString(Target.State)},
+         {"cause", "progress"},
+         {"flow", toString(Key)}});
+    Target.State = Reachability::Reachable;
+  }
+  if (Update.ResponseTime == Clock::duration{0})
+    return;
+  const double Sample =
+      std::chrono::duration<double, std::milli>(Update.ResponseTime).count();
+  Target.ResponseMs = Target.ResponseMs == 0
+                          ? Sample
+                          : Target.ResponseMs +
+                                ResponseSampleWeight *
+                                    (Sample - Target.ResponseMs);
+}
+
+void Forwarder::doubt(Server &Target, const char *Cause, TimePoint Now) {
+  if (Target.State != Reachability::Reachable || Now < Target.NextCheckAt ||
+      Target.Checking)
+    return;
+  log(LogLevel::Info, "server_doubted",
+      {{"server", Target.Record.Name},
+       {"cause", Cause},
+       {"registered", Target.Registered},
+       {"progress_age_ms", ageMs(Target.ProgressAt, Now)},
+       {"server_revision", Target.Revision.value()}});
+  Target.State = Reachability::Doubted;
+  Target.Checking = true;
+  Work.Checks.push_back(Target.Token);
+  ++Counters.Checks;
+}
+
+void Forwarder::recordHint(ServerToken Token, TimePoint Now) {
+  if (Server *Target = Servers.find(Token))
+    doubt(*Target, "peer", Now);
+}
+
+void Forwarder::recordCheck(ServerToken Token, ProbeResult Result,
+                            TimePoint Started, TimePoint Now) {
+  Server *Target = Servers.find(Token);
+  if (!Target)
+    return;
+  Target->Checking = false;
+  if (Result == ProbeResult::Connected)
+    AnsweredAt = Now;
+  if (Result == ProbeResult::Connected || Target->ProgressAt >= Started) {
+    if (Target->State == Reachability::Silent)
+      log(LogLevel::Info, "server_reachable",
+          {{"server", Target->Record.Name},
+           {"was", toString(Target->State)},
+           {"cause", "health_check"}});
+    Target->State = Reachability::Reachable;
+    Target->NextCheckAt = Now + CheckPause;
+    return;
+  }
+  silence(*Target, Result, Now);
+}
+
+void Forwarder::silence(Server &Target, ProbeResult Result, TimePoint Now) {
+  Target.NextCheckAt = Now + SilentCheckPause;
+  if (std::find(SilentServers.begin(), SilentServers.end(), Target.Token) ==
+      SilentServers.end())
+    SilentServers.push_back(Target.Token);
+  if (Target.State == Reachability::Silent)
+    return;
+  Target.State = Reachability::Silent;
+  ++Counters.ServersSilenced;
+  log(LogLevel::Warn, "server_silent",
+      {{"server", Target.Record.Name},
+       {"health_check", toString(Result)},
+       {"progress_age_ms", ageMs(Target.ProgressAt, Now)},
+       {"registered", Target.Registered},
+       {"server_revision", Target.Revision.value()},
+       {"flows", Target.Flows},
+       {"isolated", isolated(Now)}});
+  if (isolated(Now))
+    checkOther(Target, Now);
+  else
+    resetFlowsOf(Target);
+}
+
+//! Tells apart a silent server from a host that reaches none.
+void Forwarder::checkOther(const Server &Silent, TimePoint Now) {
+  Server *Other = nullptr;
+  Servers.forEach([&](Server &Known) {
+    if (&Known != &Silent && Known.Registered &&
+        Known.State == Reachability::Reachable &&
+        (!Other || Known.Record.Domain == Options.Domain))
+      Other = &Known;
+  });
+  if (Other)
+    doubt(*Other, "isolation_suspected", Now);
+}
+
+void Forwarder::resetFlowsOf(const Server &Target) {
+  std::vector<FlowKey> Lost;
+  for (const auto &[Key, Known] : Flows) {
+    if (Known.Token != Target.Token || Known.Opening)
+      continue;
+    Work.Resets.push_back({.Flow = Key, .Sequence = Known.Acknowledged});
+    Lost.push_back(Key);
+  }
+  for (const FlowKey &Key : Lost) {
+    log(LogLevel::Info, "flow_reset",
+        {{"flow", toString(Key)},
+         {"server", Target.Record.Name},
+         {"reason", toString(Refusal::ServerSilent)}});
+    eraseFlow(Key);
+  }
+  Counters.FlowsReset += Lost.size();
+}
+
+void Forwarder::applyRoutes(RouteSet Next) {
+  const ConfigVersion Before = Routes.version();
+  const ConfigVersion Offered = Next.Version;
+  const bool Applied = Routes.apply(std::move(Next));
+  log(LogLevel::Info, Applied ? "config_applied" : "config_ignored",
+      {{"version", Offered.value()},
+       {"before", Before.value()},
+       {"routes", Routes.size()}});
+}
+
+void Forwarder::updateServer(ServerRecord Record, StoreRevision Revision,
+                             TimePoint Now) {
+  const ServerToken Token = tokenOf(Record);
+  const auto Change = Servers.update(std::move(Record), Revision, Now);
+  if (Change == ServerDirectory::Change::None)
+    return;
+  Server &Known = *Servers.find(Token);
+  log(LogLevel::Info, "server_updated",
+      {{"server", Known.Record.Name},
+       {"token", tokenText(Token)},
+       {"added", Change == ServerDirectory::Change::Added},
+       {"service", Known.Record.Service.value()},
+       {"failure_domain", Known.Record.Domain.value()},
+       {"slots", Known.Record.Slots},
+       {"draining", Known.Record.Draining},
+       {"warmup_ms", Known.Record.WarmupLeft.count()},
+       {"server_revision", Revision.value()}});
+  // A new entry shows that the process runs.
+  if (Known.State == Reachability::Silent)
+    Known.NextCheckAt = Now;
+}
+
+void Forwarder::removeServer(const std::string &Name, StoreRevision Revision,
+                             TimePoint Now) {
+  Server *Known = Servers.remove(Name, Revision, Now);
+  if (!Known)
+    return;
+  log(LogLevel::Info, "server_removed",
+      {{"server", Name},
+       {"draining", Known->Record.Draining},
+       {"flows", Known->Flows},
+       {"progress_age_ms", ageMs(Known->ProgressAt, Now)},
+       {"server_revision", Revision.value()}});
+  if (Known->Flows > 0)
+    doubt(*Known, "removed", Now);
+}
+
+void Forwarder::retainServers(std::vector<std::string> Present,
+                              StoreRevision Revision, TimePoint Now) {
+  for (Server *Known : Servers.retain(std::move(Present), Revision, Now)) {
+    log(LogLevel::Info, "server_removed",
+        {{"server", Known->Record.Name},
+         {"cause", "absent_from_registry"},
+         {"flows", Known->Flows},
+         {"server_revision", Revision.value()}});
+    if (Known->Flows > 0)
+      doubt(*Known, "removed", Now);
+  }
+}
+
+bool Forwarder::ready(TimePoint Now) const {
+  return Routes.version() != ConfigVersion() && Servers.size() > 0 &&
+         !(isolated(Now) && !SilentServers.empty());
+}
+
+bool Forwarder::takeRefreshWish() { return std::exchange(RefreshWish, false); }
+
+ForwarderWork Forwarder::takeWork(TimePoint Now) {
+  hedgeDue(Now);
+  doubtUnanswered(Now);
+  checkDue(Now);
+  if (Now >= NextSweep)
+    sweep(Now);
+  return std::exchange(Work, ForwarderWork{});
+}
+
+TimePoint Forwarder::nextDue() const {
+  TimePoint Next = NextSweep;
+  if (!DueOpenings.empty())
+    Next = std::min(Next, DueOpenings.front().DueAt);
+  if (!DueResponses.empty())
+    Next = std::min(Next, DueResponses.front().DueAt);
+  return Next;
+}
+
+void Forwarder::hedgeDue(TimePoint Now) {
+  while (!DueOpenings.empty() && DueOpenings.front().DueAt <= Now) {
+    const DueOpening Due = DueOpenings.front();
+    DueOpenings.pop_front();
+    if (Now - Due.DueAt < StaleOpen)
+      hedgeOpen(Due.Flow, Now);
+  }
+}
+
+void Forwarder::hedgeOpen(const FlowKey &Key, TimePoint Now) {
+  const auto Found = Openings.find(Key);
+  if (Found == Openings.end())
+    return;
+  Opening &Known = Found->second;
+  Server *Before = Servers.find(Known.Tried.back());
+  if (Before)
+    doubt(*Before, "open_unanswered", Now);
+  const Route *Entry = Routes.find(Key.Service);
+  if (!Entry || Known.Tried.size() >= MaxOpenAttempts ||
+      !routing::takeRetry(HedgeBudget, Now))
+    return;
+  const Placement Choice = place(Key, *Entry, Known.Tried, Now);
+  if (!Choice.Chosen)
+    return;
+  log(LogLevel::Info, "open_hedged",
+      {{"flow", toString(Key)},
+       {"unanswered", Before ? Before->Record.Name : ""},
+       {"server", Choice.Chosen->Record.Name},
+       {"reason", toString(Choice.Reason)},
+       {"age_ms", ageMs(Known.StartedAt, Now)}});
+  Known.Tried.push_back(Choice.Chosen->Token);
+  Work.Packets.push_back(
+      {.Packet = Known.Packet, .Target = Choice.Chosen->Token});
+  DueOpenings.push_back({.DueAt = Now + HandshakeTimeout, .Flow = Key});
+  ++Counters.Hedged;
+}
+
+void Forwarder::doubtUnanswered(TimePoint Now) {
+  while (!DueResponses.empty() && DueResponses.front().DueAt <= Now) {
+    const DueResponse Due = DueResponses.front();
+    DueResponses.pop_front();
+    const auto Known = Flows.find(Due.Flow);
+    if (Known == Flows.end() ||
+        Known->second.WaitingSince != Due.WaitingSince)
+      continue;
+    Server *Target = Servers.find(Known->second.Token);
+    if (Target && Target->ProgressAt < Due.WaitingSince)
+      doubt(*Target, "request_unanswered", Now);
+  }
+}
+
+void Forwarder::checkDue(TimePoint Now) {
+  std::erase_if(SilentServers, [&](ServerToken Token) {
+    Server *Target = Servers.find(Token);
+    if (!Target || Target->State != Reachability::Silent)
+      return true;
+    if (Target->Checking || Now < Target->NextCheckAt)
+      return false;
+    // Without an entry nobody is sent there any more.
+    if (!Target->Registered)
+      return false;
+    Target->Checking = true;
+    Work.Checks.push_back(Token);
+    ++Counters.Checks;
+    return false;
+  });
+}
+
+void Forwarder::sweep(TimePoint Now) {
+  NextSweep = Now + SweepInterval;
+  std::vector<FlowKey> Old;
+  for (const auto &[Key, Known] : Flows) {
+    const auto Idle = Now - Known.SeenAt;
+    if (Idle > Routes.idleTimeout() ||
+        (Known.Finished && Idle > FinishedLifetime))
+      Old.push_back(Key);
+  }
+  for (const FlowKey &Key : Old)
+    eraseFlow(Key);
+  boost::unordered::erase_if(Openings, [&](const auto &Entry) {
+    return Now - Entry.second.StartedAt > OpeningLifetime;
+  });
+  Servers.forget(Now - Options.FlowLifetime);
+}
+
+} // namespace buckthorndeck::forwarding
--- /dev/null
+++ b/packages/forwarding/src/buckthorndeck/forwarding/RegistryFeed.cpp
@@ -0,0 +1,176 @@
+#include "buckthorndeck/forwarding/RegistryFeed.h"
+
+#include "buckthorndeck/base/Log.h"
+
+#include <algorithm>
+
+namespace buckthorndeck::forwarding {
+
+namespace {
+
+//! Least time between two refreshes that packets with unknown tokens cause.
+constexpr Milliseconds RefreshInterval{1000};
+
+void logLost(const Error &Failure, unsigned Failures, TimePoint AnsweredAt) {
+  const auto Age = std::chrono::duration_cast<Milliseconds>(
+      Clock::now() - AnsweredAt);
+  log(LogLevel::Warn, Failures == 1 ? "store_lost" : "store_call_failed",
+      {{"step", Failure.Step},
+       {"peer", Failure.Peer},
+       {"code", toString(Failure.Code)},
+       {"error", Failure.Message},
+       {"failures", Failures},
+       {"answer_age_ms", AnsweredAt == TimePoint{} ? -1 : Age.count()}});
+}
+
+void logLoaded(StoreRevision Position, std::size_t Servers,
+               ConfigVersion Version) {
+  log(LogLevel::Info, "registry_loaded",
+      {{"revision", Position.value()},
+       {"servers", Servers},
+       {"config_version", Version.value()}});
+}
+
+} // namespace
+
+RegistryFeed::RegistryFeed(Executor Where, const RegistryFeedOptions &Options,
+                           RegistrySource Source, Forwarder &Target)
+    : Options(Options), Source(std::move(Source)), Target(Target),
+      Wake(std::make_shared<Notifier>(std::move(Where))),
+      Random(Options.RandomSeed) {}
+
+void RegistryFeed::stop() {
+  Stopped = true;
+  Wake->notifyAll();
+}
+
+void RegistryFeed::refresh() {
+  const TimePoint Now = Clock::now();
+  if (Now - RefreshedAt < RefreshInterval)
+    return;
+  RefreshedAt = Now;
+  Wake->notifyAll();
+}
+
+Task<> RegistryFeed::pause(Milliseconds Delay) {
+  if (Stopped)
+    co_return;
+  const TimePoint Until = Clock::now() + Delay;
+  co_await Wake->waitUntil(Until);
+}
+
+void RegistryFeed::recordAnswer(std::optional<Error> Failure) {
+  ++Calls;
+  if (Failure) {
+    ++Failures;
+    logLost(*Failure, Failures, AnsweredAt);
+    return;
+  }
+  if (Failures > 0)
+    log(LogLevel::Info, "store_regained", {{"failures", Failures}});
+  Failures = 0;
+  AnsweredAt = Clock::now();
+}
+
+void RegistryFeed::apply(RegistryChanges &Changes) {
+  const TimePoint Now = Clock::now();
+  if (Changes.Routes)
+    Target.applyRoutes(std::move(*Changes.Routes));
+  for (ServerChange &Change : Changes.Servers) {
+    if (Change.Record)
+      Target.updateServer(std::move(*Change.Record), Change.Revision, Now);
+    else
+      Target.removeServer(Change.Name, Change.Revision, Now);
+  }
+}
+
+Task<bool> RegistryFeed::readRoutes() {
+  Expected<RegistryChanges> Changes = co_await Source.readRoutes();
+  if (!Changes) {
+    recordAnswer(Changes.error());
+    co_return false;
+  }
+  recordAnswer(std::nullopt);
+  apply(*Changes);
+  co_return true;
+}
+
+Task<bool> RegistryFeed::readServers() {
+  std::vector<std::string> Present;
+  std::optional<StoreRevision> First;
+  std::string From;
+  while (true) {
+    Expected<RegistryPage> Page = co_await Source.readServers(From);
+    if (!Page) {
+      recordAnswer(Page.error());
+      co_return false;
+    }
+    recordAnswer(std::nullopt);
+    // Pages are not a snapshot: changes after the first may be missing.
+    if (!First)
+      First = Page->Changes.AsOf;
+    for (const ServerChange &Change : Page->Changes.Servers)
+      if (Change.Record)
+        Present.push_back(Change.Name);
+    apply(Page->Changes);
+    if (!Page->Next)
+      break;
+    From = *Page->Next;
+  }
+  if (*First < Position) {
+    log(LogLevel::Warn, "stale_read_ignored",
+        {{"revision", First->value()}, {"known", Position.value()}});
+    co_return false;
+  }
+  Target.retainServers(std::move(Present), *First, Clock::now());
+  Position = *First;
+  co_return true;
+}
+
+Task<bool> RegistryFeed::load() {
+  const bool HasServers = co_await readServers();
+  if (!HasServers)
+    co_return false;
+  const bool HasRoutes = co_await readRoutes();
+  if (!HasRoutes)
+    co_return false;
+  Loaded = true;
+  logLoaded(Position, Target.servers().size(), Target.routes().version());
+  co_return true;
+}
+
+//! Watches until the history is lost.
+Task<> RegistryFeed::follow() {
+  while (!Stopped) {
+    Expected<RegistryChanges> Changes =
+        co_await Source.watch(Position, Options.WatchWait);
+    if (Stopped)
+      co_return;
+    if (!Changes) {
+      recordAnswer(Changes.error());
+      if (Changes.error().Code == ErrorCode::Expired)
+        co_return;
+      co_await pause(
+          config::backoffDelay(Options.Backoff, Failures - 1, Random));
+      continue;
+    }
+    recordAnswer(std::nullopt);
+    apply(*Changes);
+    Position = std::max(Position, Changes->AsOf);
+    if (Changes->Events > 0)
+      co_await pause(Options.ChangePause);
+  }
+}
+
+Task<> RegistryFeed::run() {
+  while (!Stopped) {
+    const bool Complete = co_await load();
+    if (!Complete)
+      co_await pause(config::backoffDelay(
+          Options.Backoff, Failures == 0 ? 0 : Failures - 1, Random));
+    else
+      co_await follow();
+  }
+}
+
+} // namespace buckthorndeck::forwarding
--- /dev/null
+++ b/packages/forwarding/src/buckthorndeck/forwarding/RegistryFeed.h
@@ -0,0 +1,69 @@
+#ifndef BUCKTHORNDECK_FORWARDING_REGISTRYFEED_H
+#define BUCKTHORNDECK_FORWARDING_REGISTRYFEED_H
+
+#include "buckthorndeck/base/Random.h"
+#include "buckthorndeck/config/CallPolicy.h"
+#include "buckthorndeck/forwarding/Forwarder.h"
+#include "buckthorndeck/forwarding/Registry.h"
+#include "buckthorndeck/net/Notifier.h"
+
+#include <memory>
+
+namespace buckthorndeck::forwarding {
+
+struct RegistryFeedOptions {
+  //! Longest wait of one watch. It bounds how long a connection that has gone
+  //! silent hides changes.
+  Milliseconds WatchWait{4000};
+  //! Pause after changes, so that several arrive by one call. Changes must be
+  //! in force 3 s after they were made.
+  Milliseconds ChangePause{1000};
+  config::BackoffOptions Backoff{.First = Milliseconds(100),
+                                 .Max = Milliseconds(1000)};
+  std::uint64_t RandomSeed = 1;
+};
+
+//! Keeps a Forwarder up to date with the platform's store.
+class RegistryFeed {
+public:
+  RegistryFeed(Executor Where, const RegistryFeedOptions &Options,
+               RegistrySource Source, Forwarder &Target);
+
+  //! Runs until stop().
+  Task<> run();
+  void stop();
+  //! Ends the current pause, at most once in a second.
+  void refresh();
+
+  //! Whether everything was read once.
+  bool loaded() const { return Loaded; }
+  //! When the store last answered; epoch if never.
+  TimePoint answeredAt() const { return AnsweredAt; }
+  std::uint64_t calls() const { return Calls; }
+
+private:
+  Task<bool> load();
+  Task<bool> readRoutes();
+  Task<bool> readServers();
+  Task<> follow();
+  void apply(RegistryChanges &Changes);
+  void recordAnswer(std::optional<Error> Failure);
+  Task<> pause(Milliseconds Delay);
+
+  RegistryFeedOptions Options;
+  RegistrySource Source;
+  Forwarder &Target;
+  std::shared_ptr<Notifier> Wake;
+  RandomEngine Random;
+  StoreRevision Position; //!< Changes up to here are applied.
+  TimePoint AnsweredAt;
+  TimePoint RefreshedAt;
+  std::uint64_t Calls = 0;
+  unsigned Failures = 0; //!< In a row.
+  bool Loaded = false;
+  bool Stopped = false;
+};
+
+} // namespace buckthorndeck::forwarding
+
+#endif // BUCKTHORNDECK_FORWARDING_REGISTRYFEED_H
--- a/packages/net/src/buckthorndeck/net/HttpMessage.h
+++ b/packages/net/src/buckthorndeck/net/HttpMessage.h
@@ -13,7 +13,8 @@
 
 struct HttpResponse {
   unsigned Status = 200;
-  std::string Body; //!< JSON text or empty.
+  std::string Body; //!< Of the content type below, or empty.
+  std::string ContentType = "application/json";
 };
 
 } // namespace buckthorndeck
--- a/packages/net/src/buckthorndeck/net/HttpServer.cpp
+++ b/packages/net/src/buckthorndeck/net/HttpServer.cpp
@@ -42,7 +42,7 @@
       co_return;
     http::response<http::string_body> Response(
         static_cast<http::status>(Answer->Status), 11);
-    Response.set(http::field::content_type, "application/json");
+    Response.set(http::field::content_type, Answer->ContentType);
     Response.keep_alive(KeepAlive);
     Response.body() = std::move(Answer->Body);
     Response.prepare_payload();
--- a/packages/net/src/buckthorndeck/net/UdpSocket.cpp
+++ b/packages/net/src/buckthorndeck/net/UdpSocket.cpp
@@ -63,6 +63,12 @@
                              .Message = "socket closed"});
 }
 
+Task<bool> UdpSocket::waitReadable() {
+  const auto [Code] = co_await Socket.async_wait(
+      udp::socket::wait_read, asio::as_tuple(asio::use_awaitable));
+  co_return !Code;
+}
+
 bool UdpSocket::send(ByteView Payload, const UdpEndpoint &Receiver) {
   boost::system::error_code Code;
   Socket.send_to(asio::buffer(Payload.data(), Payload.size()), Receiver, 0,
--- a/packages/net/src/buckthorndeck/net/UdpSocket.h
+++ b/packages/net/src/buckthorndeck/net/UdpSocket.h
@@ -36,6 +36,13 @@
   //! the protocol treats like a datagram lost on the way.
   bool send(ByteView Payload, const UdpEndpoint &Receiver);
 
+  //! Waits until a datagram can be received. False after close().
+  Task<bool> waitReadable();
+
+  bool isOpen() const { return Socket.is_open(); }
+  //! For DatagramBatch.
+  int nativeHandle() { return Socket.native_handle(); }
+
   void close();
 
 private:
