End a stop within the grace time; doubt a server only without progress

A retransmission to a server that had answered others since cost a health check. Ruled out: the stop itself, which logged 'stopped' after 1.3 s.

--- a/packages/entryhost/app/main.cpp
+++ b/packages/entryhost/app/main.cpp
@@ -159,11 +159,14 @@
                .LinesPerSecond = Settings.LogLinesPerSecond});
   boost::asio::io_context Context(1);
   spawn(Context.get_executor(), "reload", reloadOnSignal(Context, File));
-  return runHost(Context,
-                 entryhost::PacketHost::start(
-                     Context.get_executor(), Settings, platform::packetFormat(),
-                     platform::storeCalls(Settings.Store,
-                                          Settings.StoreTimeout)));
+  const int Code = runHost(
+      Context, entryhost::PacketHost::start(
+                   Context.get_executor(), Settings, platform::packetFormat(),
+                   platform::storeCalls(Settings.Store,
+                                        Settings.StoreTimeout)));
+  // Every line is written by now. Joining the log library's idle threads can
+  // outlast the time that the platform grants for a stop.
+  std::_Exit(Code);
 }
 
 //! Loads the settings and runs the program, or only checks them.
--- a/packages/forwarding/src/buckthorndeck/forwarding/Forwarder.cpp
+++ b/packages/forwarding/src/buckthorndeck/forwarding/Forwarder.cpp
@@ -247,7 +247,9 @@
                             .WaitingSince = Known.WaitingSince});
   if (Update.Retransmission) {
     ++Counters.Retransmissions;
-    doubt(Target, "retransmission", Now);
+    // A server that has answered others lately lost a packet at most.
+    if (Target.ProgressAt < Known.WaitingSince)
+      doubt(Target, "retransmission", Now);
   }
 }
 
