Believe a health check's timeout only after two in time

Cause: a single timeout of 100 ms silenced servers that served; on small hosts the timer fired late, without processor time. Now two timeouts of 60 ms, and none that is noticed late.

--- a/packages/entryhost/src/buckthorndeck/entryhost/PacketHost.cpp
+++ b/packages/entryhost/src/buckthorndeck/entryhost/PacketHost.cpp
@@ -29,9 +29,15 @@
 constexpr std::size_t BatchCapacity = 32;
 //! A full packet is 1,234 bytes; longer datagrams are refused by the decoder.
 constexpr std::size_t PacketBufferBytes = 1300;
-//! A connection takes one round trip of a few ms and, on a busy host, its share
-//! of processor time.
-constexpr Milliseconds HealthCheckTimeout{100};
+//! A connection takes one round trip of a few ms.
+constexpr Milliseconds HealthCheckTimeout{60};
+//! Attempts that must time out: a single one may have lost a packet.
+constexpr unsigned HealthCheckAttempts = 2;
+//! A timeout that is noticed later than this was delayed by this host, which
+//! had no processor time, and says nothing about the server.
+constexpr Milliseconds LateTimer{20};
+//! Bound on repeated attempts of a host that never gets its time.
+constexpr unsigned MaxLateAttempts = 4;
 //! Due work is done in steps of this size, to share wake-ups.
 constexpr Milliseconds TimerStep{10};
 //! Routers ask twice a second and take a host out after two misses.
@@ -206,7 +212,19 @@
 
 Task<> PacketHost::Parts::checkServer(ServerToken Token, TcpEndpoint Address) {
   const TimePoint Started = Clock::now();
-  const ProbeResult Result = co_await probeTcp(Address, HealthCheckTimeout);
+  ProbeResult Result = ProbeResult::TimedOut;
+  unsigned TimedOut = 0;
+  unsigned Late = 0;
+  while (TimedOut < HealthCheckAttempts && Late < MaxLateAttempts) {
+    const TimePoint Due = Clock::now() + HealthCheckTimeout;
+    Result = co_await probeTcp(Address, HealthCheckTimeout);
+    if (Result != ProbeResult::TimedOut)
+      break;
+    if (Clock::now() - Due > LateTimer)
+      ++Late;
+    else
+      ++TimedOut;
+  }
   const TimePoint Now = Clock::now();
   Decisions.recordCheck(Token, Result, Started, Now);
   doWork(Now);
