--- a/packages/entryhost/src/buckthorndeck/entryhost/PacketHost.cpp
+++ b/packages/entryhost/src/buckthorndeck/entryhost/PacketHost.cpp
@@ -13,6 +13,7 @@
 
 namespace buckthorndeck::entryhost {
 
+using forwarding::CheckOutcome;
 using forwarding::FlowKey;
 using forwarding::Forwarder;
 using forwarding::ForwarderWork;
@@ -46,6 +47,35 @@
 constexpr Milliseconds QuietTime{400};
 constexpr Milliseconds StopPollInterval{100};
 
+//! Connects until enough attempts in a row timed out while this host had
+//! processor time. No value if it never had enough.
+Task<std::optional<ProbeResult>> probeServer(TcpEndpoint Address) {
+  unsigned Late = 0;
+  for (unsigned TimedOut = 0; TimedOut < HealthCheckAttempts;) {
+    const TimePoint Due = Clock::now() + HealthCheckTimeout;
+    const ProbeResult Result = co_await probeTcp(Address, HealthCheckTimeout);
+    if (Result != ProbeResult::TimedOut)
+      co_return Result;
+    if (Clock::now() - Due <= LateTimer)
+      ++TimedOut;
+    else if (++Late == MaxLateAttempts)
+      co_return std::nullopt;
+  }
+  co_return ProbeResult::TimedOut;
+}
+
+TcpEndpoint healthAddress(const Server &Target) {
+  return {Target.Record.Address.address(), Target.Record.Address.port()};
+}
+
+//! Whether the control server answers within the time of one attempt.
+Task<bool> probeControl(std::optional<TcpEndpoint> Control) {
+  if (!Control)
+    co_return false;
+  const ProbeResult Result = co_await probeTcp(*Control, HealthCheckTimeout);
+  co_return Result != ProbeResult::TimedOut;
+}
+
 } // namespace
 
 struct PacketHost::Parts {
@@ -192,8 +222,7 @@
   for (const ServerToken Token : Work.Checks)
     if (const Server *Target = Decisions.servers().find(Token))
       spawn(Where, "health_check",
-            checkServer(Token, TcpEndpoint(Target->Record.Address.address(),
-                                           Target->Record.Address.port())));
+            checkServer(Token, healthAddress(*Target)));
   if (Decisions.takeRefreshWish())
     Feed.refresh();
   if (Decisions.nextDue() < TimerDue)
@@ -212,21 +241,23 @@
 
 Task<> PacketHost::Parts::checkServer(ServerToken Token, TcpEndpoint Address) {
   const TimePoint Started = Clock::now();
-  ProbeResult Result = ProbeResult::TimedOut;
-  unsigned TimedOut = 0;
-  unsigned Late = 0;
-  while (TimedOut < HealthCheckAttempts && Late < MaxLateAttempts) {
-    const TimePoint Due = Clock::now() + HealthCheckTimeout;
-    Result = co_await probeTcp(Address, HealthCheckTimeout);
-    if (Result != ProbeResult::TimedOut)
-      break;
-    if (Clock::now() - Due > LateTimer)
-      ++Late;
-    else
-      ++TimedOut;
+  const std::optional<ProbeResult> Result = co_await probeServer(Address);
+  CheckOutcome Outcome = CheckOutcome::Inconclusive;
+  if (Result == ProbeResult::Connected)
+    Outcome = CheckOutcome::Connected;
+  else if (Result == ProbeResult::Refused)
+    Outcome = CheckOutcome::Refused;
+  else if (Result == ProbeResult::TimedOut) {
+    const Server *Control = Decisions.controlFor(Token);
+    std::optional<TcpEndpoint> ControlAddress;
+    if (Control)
+      ControlAddress = healthAddress(*Control);
+    const bool ControlAnswers = co_await probeControl(ControlAddress);
+    if (ControlAnswers)
+      Outcome = CheckOutcome::TimedOut;
   }
   const TimePoint Now = Clock::now();
-  Decisions.recordCheck(Token, Result, Started, Now);
+  Decisions.recordCheck(Token, Outcome, Started, Now);
   doWork(Now);
 }
 
--- a/packages/forwarding/src/buckthorndeck/forwarding/Forwarder.cpp
+++ b/packages/forwarding/src/buckthorndeck/forwarding/Forwarder.cpp
@@ -19,6 +19,8 @@
 constexpr Milliseconds ResponseDoubtTime{100};
 //! Pause between health checks of a server that answers them.
 constexpr Milliseconds CheckPause{500};
+//! Pause after a health check that said nothing.
+constexpr Milliseconds InconclusiveCheckPause{200};
 //! Pause between health checks of a silent server.
 constexpr Milliseconds SilentCheckPause{1000};
 //! Without any sign of any server for this time the fault is on this side.
@@ -65,6 +67,20 @@
   return "unknown";
 }
 
+const char *toString(CheckOutcome Outcome) {
+  switch (Outcome) {
+  case CheckOutcome::Connected:
+    return "connected";
+  case CheckOutcome::Refused:
+    return "refused";
+  case CheckOutcome::TimedOut:
+    return "timed_out";
+  case CheckOutcome::Inconclusive:
+    return "inconclusive";
+  }
+  return "unknown";
+}
+
 Forwarder::Forwarder(const ForwarderOptions &Options)
     : Options(Options), Random(Options.RandomSeed) {}
 
@@ -100,7 +116,7 @@
     eraseFlow(Header.Flow);
   } else {
     recordFlow(Header, *Target, Now);
-    const Refusal Reason = deadReason(*Target, Now);
+    const Refusal Reason = deadReason(*Target);
     if (Reason != Refusal::None) {
       eraseFlow(Header.Flow);
       return refuse(PacketAction::Reset, Reason, Header.Flow, Target);
@@ -110,16 +126,16 @@
   return {.Action = PacketAction::Forward, .Target = Target};
 }
 
-Refusal Forwarder::deadReason(const Server &Target, TimePoint Now) const {
+Refusal Forwarder::deadReason(const Server &Target) const {
   if (!Target.Registered && Servers.isReplaced(Target))
     return Refusal::ServerReplaced;
-  if (Target.State == Reachability::Silent && !isolated(Now))
+  if (Target.State == Reachability::Silent)
     return Refusal::ServerSilent;
   return Refusal::None;
 }
 
 bool Forwarder::isolated(TimePoint Now) const {
-  return Now - AnsweredAt > IsolationTime;
+  return UnreachedAt > AnsweredAt && Now - AnsweredAt > IsolationTime;
 }
 
 Placement Forwarder::place(const FlowKey &Flow, const Route &Entry,
@@ -297,28 +313,52 @@
     doubt(*Target, "peer", Now);
 }
 
-void Forwarder::recordCheck(ServerToken Token, ProbeResult Result,
+const Server *Forwarder::controlFor(ServerToken Checked) {
+  const Server *Control = nullptr;
+  Servers.forEach([&](const Server &Known) {
+    if (Known.Token == Checked || !Known.Registered ||
+        Known.State != Reachability::Reachable)
+      return;
+    const bool Own = Known.Record.Domain == Options.Domain;
+    const bool ControlOwn =
+        Control && Control->Record.Domain == Options.Domain;
+    if (!Control || Own > ControlOwn ||
+        (Own == ControlOwn && Known.ProgressAt > Control->ProgressAt))
+      Control = &Known;
+  });
+  return Control;
+}
+
+void Forwarder::recordCheck(ServerToken Token, CheckOutcome Outcome,
                             TimePoint Started, TimePoint Now) {
+  if (Outcome == CheckOutcome::Inconclusive)
+    UnreachedAt = Now;
+  else
+    AnsweredAt = Now;
   Server *Target = Servers.find(Token);
   if (!Target)
     return;
   Target->Checking = false;
-  if (Result == ProbeResult::Connected)
-    AnsweredAt = Now;
-  if (Result == ProbeResult::Connected || Target->ProgressAt >= Started) {
-    if (Target->State == Reachability::Silent)
-      log(LogLevel::Info, "server_reachable",
-          {{"server", Target->Record.Name},
-           {"was", toString(Target->State)},
-           {"cause", "health_check"}});
-    Target->State = Reachability::Reachable;
-    Target->NextCheckAt = Now + CheckPause;
+  const bool Answers =
+      Outcome == CheckOutcome::Connected || Target->ProgressAt >= Started;
+  if (!Answers && Outcome != CheckOutcome::Inconclusive) {
+    silence(*Target, Outcome, Now);
     return;
   }
-  silence(*Target, Result, Now);
+  Target->NextCheckAt =
+      Now + (Answers ? CheckPause : InconclusiveCheckPause);
+  if (Target->State == Reachability::Silent && !Answers)
+    return;
+  if (Target->State == Reachability::Silent || !Answers)
+    log(LogLevel::Info, "server_reachable",
+        {{"server", Target->Record.Name},
+         {"was", toString(Target->State)},
+         {"cause", "health_check"},
+         {"health_check", toString(Outcome)}});
+  Target->State = Reachability::Reachable;
 }
 
-void Forwarder::silence(Server &Target, ProbeResult Result, TimePoint Now) {
+void Forwarder::silence(Server &Target, CheckOutcome Outcome, TimePoint Now) {
   Target.NextCheckAt = Now + SilentCheckPause;
   if (std::find(SilentServers.begin(), SilentServers.end(), Target.Token) ==
       SilentServers.end())
@@ -329,29 +369,12 @@
   ++Counters.ServersSilenced;
   log(LogLevel::Warn, "server_silent",
       {{"server", Target.Record.Name},
-       {"health_check", toString(Result)},
+       {"health_check", toString(Outcome)},
        {"progress_age_ms", ageMs(Target.ProgressAt, Now)},
        {"registered", Target.Registered},
        {"server_revision", Target.Revision.value()},
-       {"flows", Target.Flows},
-       {"isolated", isolated(Now)}});
-  if (isolated(Now))
-    checkOther(Target, Now);
-  else
-    resetFlowsOf(Target);
-}
-
-//! Tells apart a silent server from a host that reaches none.
-void Forwarder::checkOther(const Server &Silent, TimePoint Now) {
-  Server *Other = nullptr;
-  Servers.forEach([&](Server &Known) {
-    if (&Known != &Silent && Known.Registered &&
-        Known.State == Reachability::Reachable &&
-        (!Other || Known.Record.Domain == Options.Domain))
-      Other = &Known;
-  });
-  if (Other)
-    doubt(*Other, "isolation_suspected", Now);
+       {"flows", Target.Flows}});
+  resetFlowsOf(Target);
 }
 
 void Forwarder::resetFlowsOf(const Server &Target) {
@@ -434,7 +457,7 @@
 
 bool Forwarder::ready(TimePoint Now) const {
   return Routes.version() != ConfigVersion() && Servers.size() > 0 &&
-         !(isolated(Now) && !SilentServers.empty());
+         !isolated(Now);
 }
 
 bool Forwarder::takeRefreshWish() { return std::exchange(RefreshWish, false); }
@@ -509,6 +532,10 @@
 }
 
 void Forwarder::checkDue(TimePoint Now) {
+  // A host that takes no packets learns only by checks that it can serve again.
+  if (isolated(Now))
+    if (const Server *Any = controlFor(ServerToken()))
+      doubt(*Servers.find(Any->Token), "isolated", Now);
   std::erase_if(SilentServers, [&](ServerToken Token) {
     Server *Target = Servers.find(Token);
     if (!Target || Target->State != Reachability::Silent)
--- a/packages/forwarding/src/buckthorndeck/forwarding/Forwarder.h
+++ b/packages/forwarding/src/buckthorndeck/forwarding/Forwarder.h
@@ -6,7 +6,6 @@
 #include "buckthorndeck/forwarding/Placement.h"
 #include "buckthorndeck/forwarding/RouteTable.h"
 #include "buckthorndeck/forwarding/ServerDirectory.h"
-#include "buckthorndeck/net/TcpProbe.h"
 #include "buckthorndeck/routing/RetryBudget.h"
 
 #include <array>
@@ -48,6 +47,16 @@
   Refusal Reason = Refusal::None;
 };
 
+//! What a health check says of a server.
+enum class CheckOutcome {
+  Connected,
+  Refused,      //!< The server's host answers, the server does not.
+  TimedOut,     //!< Nothing answered, while another server did.
+  Inconclusive, //!< Nothing answered, and another server did not either.
+};
+
+const char *toString(CheckOutcome Outcome);
+
 //! A packet to send to a server, for example another copy of an open.
 struct OutgoingPacket {
   Bytes Packet;
@@ -88,9 +97,9 @@
  * answer.
  *
  * A server is doubted when an open or a request stays unanswered, and counts
- * as silent once a health check fails too while no packet shows progress. Flows
- * of silent servers are reset, so that their callers turn elsewhere at once
- * instead of at their deadline.
+ * as silent once a health check fails too while no packet shows progress and
+ * another server can be reached. Flows of silent servers are reset, so that
+ * their callers turn elsewhere at once instead of at their deadline.
  */
 class Forwarder {
 public:
@@ -107,8 +116,11 @@
   //! Ends a complete read of the registry.
   void retainServers(std::vector<std::string> Present, StoreRevision Revision,
                      TimePoint Now);
-  void recordCheck(ServerToken Token, ProbeResult Result, TimePoint Started,
+  void recordCheck(ServerToken Token, CheckOutcome Outcome, TimePoint Started,
                    TimePoint Now);
+  //! A server whose answer shows that this host can reach servers at all; null
+  //! if there is none besides Checked. Prefers the own failure domain.
+  const Server *controlFor(ServerToken Checked);
   //! Another host finds that the server does not answer.
   void recordHint(ServerToken Token, TimePoint Now);
 
@@ -160,10 +172,9 @@
   void eraseFlow(const FlowKey &Key);
   void hedgeOpen(const FlowKey &Key, TimePoint Now);
   void doubt(Server &Target, const char *Cause, TimePoint Now);
-  void silence(Server &Target, ProbeResult Result, TimePoint Now);
+  void silence(Server &Target, CheckOutcome Outcome, TimePoint Now);
   void resetFlowsOf(const Server &Target);
-  void checkOther(const Server &Silent, TimePoint Now);
-  Refusal deadReason(const Server &Target, TimePoint Now) const;
+  Refusal deadReason(const Server &Target) const;
   bool isolated(TimePoint Now) const;
   void doubtUnanswered(TimePoint Now);
   void hedgeDue(TimePoint Now);
@@ -183,7 +194,8 @@
   routing::RetryBudget HedgeBudget;
   RandomEngine Random;
   TimePoint NextSweep;
-  TimePoint AnsweredAt; //!< Last sign of any server.
+  TimePoint AnsweredAt;   //!< Last sign of any server.
+  TimePoint UnreachedAt;  //!< Last inconclusive health check.
   bool RefreshWish = false;
 };
 
