--- a/packages/entryhost/app/main.cpp
+++ b/packages/entryhost/app/main.cpp
@@ -147,8 +147,8 @@
   initLogging({.Threshold = Settings.LogThreshold,
                .Program = "buckthorndeck/" + Settings.Name.value()});
   boost::asio::io_context Context(1);
-  return runHost(Context, entryhost::EntryHost::start(Context.get_executor(),
-                                                      Settings));
+  return runHost(Context,
+                 entryhost::EntryHost::start(Context.get_executor(), Settings));
 }
 
 int runPackets(const entryhost::PacketSettings &Settings,
@@ -159,11 +159,11 @@
                .LinesPerSecond = Settings.LogLinesPerSecond});
   boost::asio::io_context Context(1);
   spawn(Context.get_executor(), "reload", reloadOnSignal(Context, File));
-  const int Code = runHost(
-      Context, entryhost::PacketHost::start(
-                   Context.get_executor(), Settings, platform::packetFormat(),
-                   platform::storeCalls(Settings.Store,
-                                        Settings.StoreTimeout)));
+  const int Code =
+      runHost(Context,
+              entryhost::PacketHost::start(
+                  Context.get_executor(), Settings, platform::packetFormat(),
+                  platform::storeCalls(Settings.Store, Settings.StoreTimeout)));
   // Every line is written by now. Joining the log library's idle threads can
   // outlast the time that the platform grants for a stop.
   std::_Exit(Code);
--- a/packages/entryhost/src/buckthorndeck/entryhost/PacketHost.cpp
+++ b/packages/entryhost/src/buckthorndeck/entryhost/PacketHost.cpp
@@ -10,6 +10,7 @@
 #include "buckthorndeck/net/TcpProbe.h"
 
 #include <algorithm>
+#include <boost/asio/experimental/awaitable_operators.hpp>
 
 namespace buckthorndeck::entryhost {
 
@@ -32,13 +33,9 @@
 constexpr std::size_t PacketBufferBytes = 1300;
 //! A connection takes one round trip of a few ms.
 constexpr Milliseconds HealthCheckTimeout{60};
-//! Attempts that must time out: a single one may have lost a packet.
-constexpr unsigned HealthCheckAttempts = 2;
 //! A timeout that is noticed later than this was delayed by this host, which
 //! had no processor time, and says nothing about the server.
 constexpr Milliseconds LateTimer{20};
-//! Bound on repeated attempts of a host that never gets its time.
-constexpr unsigned MaxLateAttempts = 4;
 //! Due work is done in steps of this size, to share wake-ups.
 constexpr Milliseconds TimerStep{10};
 //! Routers ask twice a second and take a host out after two misses.
@@ -47,33 +44,42 @@
 constexpr Milliseconds QuietTime{400};
 constexpr Milliseconds StopPollInterval{100};
 
-//! Connects until enough attempts in a row timed out while this host had
-//! processor time. No value if it never had enough.
-Task<std::optional<ProbeResult>> probeServer(TcpEndpoint Address) {
-  unsigned Late = 0;
-  for (unsigned TimedOut = 0; TimedOut < HealthCheckAttempts;) {
-    const TimePoint Due = Clock::now() + HealthCheckTimeout;
-    const ProbeResult Result = co_await probeTcp(Address, HealthCheckTimeout);
-    if (Result != ProbeResult::TimedOut)
-      co_return Result;
-    if (Clock::now() - Due <= LateTimer)
-      ++TimedOut;
-    else if (++Late == MaxLateAttempts)
-      co_return std::nullopt;
-  }
-  co_return ProbeResult::TimedOut;
-}
+//! Whether a connection attempt ended by its timeout, and did so in time.
+bool isLate(TimePoint Due) { return Clock::now() - Due > LateTimer; }
 
 TcpEndpoint healthAddress(const Server &Target) {
   return {Target.Record.Address.address(), Target.Record.Address.port()};
 }
 
-//! Whether the control server answers within the time of one attempt.
-Task<bool> probeControl(std::optional<TcpEndpoint> Control) {
-  if (!Control)
-    co_return false;
-  const ProbeResult Result = co_await probeTcp(*Control, HealthCheckTimeout);
-  co_return Result != ProbeResult::TimedOut;
+//! Connects to Target and, at the same time, to a server that shows whether
+//! this host reaches servers at all.
+Task<CheckOutcome> probeWithControl(TcpEndpoint Target,
+                                    std::optional<TcpEndpoint> Control) {
+  using namespace boost::asio::experimental::awaitable_operators;
+  const TimePoint Due = Clock::now() + HealthCheckTimeout;
+  // Without a control server the answer of the target decides alone.
+  const TcpEndpoint Other = Control.value_or(Target);
+  const auto [TargetResult, ControlResult] =
+      co_await (probeTcp(Target, HealthCheckTimeout) &&
+                probeTcp(Other, HealthCheckTimeout));
+  if (TargetResult == ProbeResult::Connected)
+    co_return CheckOutcome::Connected;
+  if (TargetResult == ProbeResult::Refused)
+    co_return CheckOutcome::Refused;
+  if (ControlResult == ProbeResult::TimedOut || isLate(Due))
+    co_return CheckOutcome::Inconclusive;
+  co_return CheckOutcome::TimedOut;
+}
+
+//! A first attempt is made alone, since most servers answer it.
+Task<CheckOutcome> probeServer(TcpEndpoint Target,
+                               std::optional<TcpEndpoint> Control) {
+  const ProbeResult First = co_await probeTcp(Target, HealthCheckTimeout);
+  if (First == ProbeResult::Connected)
+    co_return CheckOutcome::Connected;
+  if (First == ProbeResult::Refused)
+    co_return CheckOutcome::Refused;
+  co_return co_await probeWithControl(Target, Control);
 }
 
 } // namespace
@@ -153,8 +159,7 @@
   return !Stopping && Decisions.ready(Clock::now());
 }
 
-void PacketHost::Parts::sendReset(const FlowKey &Flow,
-                                  std::uint32_t Sequence) {
+void PacketHost::Parts::sendReset(const FlowKey &Flow, std::uint32_t Sequence) {
   const Bytes Packet = Format.encodeReset(Flow, Sequence);
   const UdpEndpoint Receiver(boost::asio::ip::address_v4(Flow.Caller.Ip),
                              Options.PacketListen.port());
@@ -221,8 +226,7 @@
     sendReset(Reset.Flow, Reset.Sequence);
   for (const ServerToken Token : Work.Checks)
     if (const Server *Target = Decisions.servers().find(Token))
-      spawn(Where, "health_check",
-            checkServer(Token, healthAddress(*Target)));
+      spawn(Where, "health_check", checkServer(Token, healthAddress(*Target)));
   if (Decisions.takeRefreshWish())
     Feed.refresh();
   if (Decisions.nextDue() < TimerDue)
@@ -241,21 +245,10 @@
 
 Task<> PacketHost::Parts::checkServer(ServerToken Token, TcpEndpoint Address) {
   const TimePoint Started = Clock::now();
-  const std::optional<ProbeResult> Result = co_await probeServer(Address);
-  CheckOutcome Outcome = CheckOutcome::Inconclusive;
-  if (Result == ProbeResult::Connected)
-    Outcome = CheckOutcome::Connected;
-  else if (Result == ProbeResult::Refused)
-    Outcome = CheckOutcome::Refused;
-  else if (Result == ProbeResult::TimedOut) {
-    const Server *Control = Decisions.controlFor(Token);
-    std::optional<TcpEndpoint> ControlAddress;
-    if (Control)
-      ControlAddress = healthAddress(*Control);
-    const bool ControlAnswers = co_await probeControl(ControlAddress);
-    if (ControlAnswers)
-      Outcome = CheckOutcome::TimedOut;
-  }
+  std::optional<TcpEndpoint> Control;
+  if (const Server *Other = Decisions.controlFor(Token))
+    Control = healthAddress(*Other);
+  const CheckOutcome Outcome = co_await probeServer(Address, Control);
   const TimePoint Now = Clock::now();
   Decisions.recordCheck(Token, Outcome, Started, Now);
   doWork(Now);
@@ -314,8 +307,8 @@
   while (true) {
     co_await sleepFor(StopPollInterval);
     const TimePoint Now = Clock::now();
-    const bool Quiet = Now - Started >= RouterReaction &&
-                       Now - Host.PacketAt >= QuietTime;
+    const bool Quiet =
+        Now - Started >= RouterReaction && Now - Host.PacketAt >= QuietTime;
     if (Quiet || Now >= Latest)
       break;
   }
--- a/packages/entryhost/src/buckthorndeck/entryhost/PacketMetrics.cpp
+++ b/packages/entryhost/src/buckthorndeck/entryhost/PacketMetrics.cpp
@@ -50,10 +50,9 @@
 
 void addRefused(FamilyList &Out, const forwarding::ForwarderCounters &Counters,
                 const PacketHostState &State) {
-  MetricFamily &Refused =
-      Out.add("buckthorndeck_packets_refused_total",
-              "Packets that were not forwarded, by reason",
-              MetricType::Counter);
+  MetricFamily &Refused = Out.add("buckthorndeck_packets_refused_total",
+                                  "Packets that were not forwarded, by reason",
+                                  MetricType::Counter);
   for (std::size_t Index = 1; Index < forwarding::RefusalCount; ++Index)
     FamilyList::addCounter(Refused, "reason",
                            toString(static_cast<Refusal>(Index)),
@@ -89,11 +88,10 @@
               Counters.Opened);
   Out.counter("buckthorndeck_flows_established_total",
               "Flows whose server answered the open", Counters.Established);
-  Out.counter("buckthorndeck_open_copies_total",
-              "Opens repeated by callers", Counters.OpenCopies);
+  Out.counter("buckthorndeck_open_copies_total", "Opens repeated by callers",
+              Counters.OpenCopies);
   Out.counter("buckthorndeck_opens_hedged_total",
-              "Opens that this host sent to a further server",
-              Counters.Hedged);
+              "Opens that this host sent to a further server", Counters.Hedged);
   Out.counter("buckthorndeck_retransmissions_total",
               "Data that callers sent again", Counters.Retransmissions);
   Out.counter("buckthorndeck_flows_reset_total",
@@ -102,12 +100,11 @@
   Out.counter("buckthorndeck_health_checks_total",
               "Connections to doubted servers", Counters.Checks);
   Out.counter("buckthorndeck_servers_silenced_total",
-              "Times that a server was found silent",
-              Counters.ServersSilenced);
+              "Times that a server was found silent", Counters.ServersSilenced);
   Out.counter("buckthorndeck_sends_dropped_total",
               "Datagrams that the kernel did not take", State.SendsDropped);
-  Out.counter("buckthorndeck_store_calls_total", "Calls to the platform's store",
-              State.StoreCalls);
+  Out.counter("buckthorndeck_store_calls_total",
+              "Calls to the platform's store", State.StoreCalls);
   Out.gauge("buckthorndeck_store_answer_age_seconds",
             "Time since the store last answered", State.StoreAnswerAgeSeconds);
   Out.gauge("buckthorndeck_config_version", "Configuration in force",
--- a/packages/entryhost/src/buckthorndeck/entryhost/PacketSettings.cpp
+++ b/packages/entryhost/src/buckthorndeck/entryhost/PacketSettings.cpp
@@ -6,6 +6,9 @@
 
 namespace {
 
+//! The rest of the time to apply a change is for slow calls and retries.
+constexpr int ChangePauseDivisor = 2;
+
 constexpr const char *SchemaText = R"json({
   "type": "object",
   "required": ["name", "failure_domain", "failure_domains", "packet_listen",
@@ -41,11 +44,11 @@
       "default": 1000,
       "description": "ms until a call to the store counts as lost; a watch gets its wait in addition"},
     "watch_wait_ms": {"type": "integer", "minimum": 100, "maximum": 30000,
-      "default": 4000,
+      "default": 20000,
       "description": "ms that a watch waits for a change"},
-    "change_pause_ms": {"type": "integer", "minimum": 0, "maximum": 30000,
-      "default": 1000,
-      "description": "ms between a change and the next watch, so that several changes arrive by one call"},
+    "apply_within_ms": {"type": "integer", "minimum": 100, "maximum": 600000,
+      "default": 3000,
+      "description": "ms within which a change in the store must be in force; half of it separates a change from the next watch, so that several changes arrive by one call"},
     "log_level": {"type": "string", "enum": ["debug", "info", "warn", "error"],
       "default": "info",
       "description": "least severe log level that is written"},
@@ -73,7 +76,8 @@
   Result.StoreTimeout =
       Milliseconds(Reader.value<unsigned>("store_timeout_ms"));
   Result.WatchWait = Milliseconds(Reader.value<unsigned>("watch_wait_ms"));
-  Result.ChangePause = Milliseconds(Reader.value<unsigned>("change_pause_ms"));
+  Result.ChangePause = Milliseconds(Reader.value<unsigned>("apply_within_ms")) /
+                       ChangePauseDivisor;
   Result.LogThreshold = Reader.logLevel("log_level");
   Result.LogLinesPerSecond = Reader.value<unsigned>("log_lines_per_s");
   Result.RandomSeed = Reader.seed("random_seed");
--- a/packages/forwarding/src/buckthorndeck/forwarding/FlowTable.cpp
+++ b/packages/forwarding/src/buckthorndeck/forwarding/FlowTable.cpp
@@ -17,8 +17,7 @@
     Known.SentUpTo = Header.Sequence;
     return true;
   }
-  if (!Header.Acknowledges ||
-      !isAfter(Header.Acknowledged, Known.Acknowledged))
+  if (!Header.Acknowledges || !isAfter(Header.Acknowledged, Known.Acknowledged))
     return false;
   Known.Acknowledged = Header.Acknowledged;
   return true;
--- a/packages/forwarding/src/buckthorndeck/forwarding/FlowTable.h
+++ b/packages/forwarding/src/buckthorndeck/forwarding/FlowTable.h
@@ -18,11 +18,11 @@
   ServerToken Token;
   TimePoint SeenAt;
   TimePoint WaitingSince; //!< First data without a response; epoch if none.
-  std::uint32_t Acknowledged = 0; //!< Last that the caller acknowledged.
-  std::uint32_t SentUpTo = 0;     //!< End of the caller's data.
+  std::uint32_t Acknowledged = 0;    //!< Last that the caller acknowledged.
+  std::uint32_t SentUpTo = 0;        //!< End of the caller's data.
   std::uint32_t Retransmissions = 0; //!< Since the last sign of the server.
-  bool Opening = false;     //!< Only its opening packet was seen.
-  bool Finished = false;    //!< The caller sends no more data.
+  bool Opening = false;              //!< Only its opening packet was seen.
+  bool Finished = false;             //!< The caller sends no more data.
 };
 
 //! How a packet changed what is known of its flow.
@@ -39,8 +39,7 @@
 Flow adoptFlow(const PacketHeader &Header, TimePoint Now);
 
 //! Updates Known with a packet that does not open the flow.
-FlowUpdate recordPacket(Flow &Known, const PacketHeader &Header,
-                        TimePoint Now);
+FlowUpdate recordPacket(Flow &Known, const PacketHeader &Header, TimePoint Now);
 
 using FlowMap = boost::unordered_flat_map<FlowKey, Flow, FlowKeyHash>;
 
--- a/packages/forwarding/src/buckthorndeck/forwarding/Forwarder.cpp
+++ b/packages/forwarding/src/buckthorndeck/forwarding/Forwarder.cpp
@@ -178,8 +178,7 @@
   Openings[Header.Flow] = Opening{.Packet = Bytes(Packet.begin(), Packet.end()),
                                   .Tried = {Target.Token},
                                   .StartedAt = Now};
-  DueOpenings.push_back({.DueAt = Now + HandshakeTimeout,
-                         .Flow = Header.Flow});
+  DueOpenings.push_back({.DueAt = Now + HandshakeTimeout, .Flow = Header.Flow});
   Flow &Added = Flows[Header.Flow];
   assign(Added, Target.Token);
   Added = Flow{.Token = Target.Token, .SeenAt = Now, .Opening = true};
@@ -285,11 +284,11 @@
     return;
   const double Sample =
       std::chrono::duration<double, std::milli>(Update.ResponseTime).count();
-  Target.ResponseMs = Target.ResponseMs == 0
-                          ? Sample
-                          : Target.ResponseMs +
-                                ResponseSampleWeight *
-                                    (Sample - Target.ResponseMs);
+  Target.ResponseMs =
+      Target.ResponseMs == 0
+          ? Sample
+          : Target.ResponseMs +
+                ResponseSampleWeight * (Sample - Target.ResponseMs);
 }
 
 void Forwarder::doubt(Server &Target, const char *Cause, TimePoint Now) {
@@ -320,8 +319,7 @@
         Known.State != Reachability::Reachable)
       return;
     const bool Own = Known.Record.Domain == Options.Domain;
-    const bool ControlOwn =
-        Control && Control->Record.Domain == Options.Domain;
+    const bool ControlOwn = Control && Control->Record.Domain == Options.Domain;
     if (!Control || Own > ControlOwn ||
         (Own == ControlOwn && Known.ProgressAt > Control->ProgressAt))
       Control = &Known;
@@ -345,8 +343,7 @@
     silence(*Target, Outcome, Now);
     return;
   }
-  Target->NextCheckAt =
-      Now + (Answers ? CheckPause : InconclusiveCheckPause);
+  Target->NextCheckAt = Now + (Answers ? CheckPause : InconclusiveCheckPause);
   if (Target->State == Reachability::Silent && !Answers)
     return;
   if (Target->State == Reachability::Silent || !Answers)
@@ -522,8 +519,7 @@
     const DueResponse Due = DueResponses.front();
     DueResponses.pop_front();
     const auto Known = Flows.find(Due.Flow);
-    if (Known == Flows.end() ||
-        Known->second.WaitingSince != Due.WaitingSince)
+    if (Known == Flows.end() || Known->second.WaitingSince != Due.WaitingSince)
       continue;
     Server *Target = Servers.find(Known->second.Token);
     if (Target && Target->ProgressAt < Due.WaitingSince)
--- a/packages/forwarding/src/buckthorndeck/forwarding/Forwarder.h
+++ b/packages/forwarding/src/buckthorndeck/forwarding/Forwarder.h
@@ -28,12 +28,12 @@
 //! Why a packet was not forwarded.
 enum class Refusal {
   None,
-  NotReady,      //!< No configuration yet.
-  NoRoute,       //!< No route to the address.
-  RouteRemoved,  //!< The configuration dropped the flow's route.
-  NoServer,      //!< The service has no server that a flow may be sent to.
-  UnknownToken,  //!< No server with this token is known.
-  ServerSilent,  //!< The flow's server does not answer.
+  NotReady,       //!< No configuration yet.
+  NoRoute,        //!< No route to the address.
+  RouteRemoved,   //!< The configuration dropped the flow's route.
+  NoServer,       //!< The service has no server that a flow may be sent to.
+  UnknownToken,   //!< No server with this token is known.
+  ServerSilent,   //!< The flow's server does not answer.
   ServerReplaced, //!< The flow's server is gone; another has its address.
 };
 inline constexpr std::size_t RefusalCount = 8;
@@ -77,12 +77,12 @@
 
 struct ForwarderCounters {
   std::uint64_t Forwarded = 0;
-  std::uint64_t Opened = 0;         //!< Flows placed.
-  std::uint64_t OpenCopies = 0;     //!< Opens repeated by callers.
-  std::uint64_t Hedged = 0;         //!< Opens repeated by this host.
-  std::uint64_t Established = 0;    //!< Opens that a server answered.
+  std::uint64_t Opened = 0;      //!< Flows placed.
+  std::uint64_t OpenCopies = 0;  //!< Opens repeated by callers.
+  std::uint64_t Hedged = 0;      //!< Opens repeated by this host.
+  std::uint64_t Established = 0; //!< Opens that a server answered.
   std::uint64_t Retransmissions = 0;
-  std::uint64_t FlowsReset = 0;     //!< Resets of flows without a packet.
+  std::uint64_t FlowsReset = 0; //!< Resets of flows without a packet.
   std::uint64_t Checks = 0;
   std::uint64_t ServersSilenced = 0;
   std::array<std::uint64_t, RefusalCount> Refused{};
@@ -194,8 +194,8 @@
   routing::RetryBudget HedgeBudget;
   RandomEngine Random;
   TimePoint NextSweep;
-  TimePoint AnsweredAt;   //!< Last sign of any server.
-  TimePoint UnreachedAt;  //!< Last inconclusive health check.
+  TimePoint AnsweredAt;  //!< Last sign of any server.
+  TimePoint UnreachedAt; //!< Last inconclusive health check.
   bool RefreshWish = false;
 };
 
--- a/packages/forwarding/src/buckthorndeck/forwarding/Placement.cpp
+++ b/packages/forwarding/src/buckthorndeck/forwarding/Placement.cpp
@@ -123,8 +123,8 @@
       return {.Chosen = Found, .Reason = PlacementReason::OwnDomain};
   if (Server *Found = Choose(isUsable))
     return {.Chosen = Found, .Reason = PlacementReason::AnyDomain};
-  if (Server *Found = Choose(
-          [&](const Server &Known) { return isLatelyGone(Known, Now); }))
+  if (Server *Found =
+          Choose([&](const Server &Known) { return isLatelyGone(Known, Now); }))
     return {.Chosen = Found, .Reason = PlacementReason::LatelyGone};
   if (Server *Found = Choose(isSilent))
     return {.Chosen = Found, .Reason = PlacementReason::Silent};
--- a/packages/forwarding/src/buckthorndeck/forwarding/Placement.h
+++ b/packages/forwarding/src/buckthorndeck/forwarding/Placement.h
@@ -10,19 +10,19 @@
 
 //! What the choice of a server for a new flow depends on besides the servers.
 struct PlacementContext {
-  FailureDomainName Domain;      //!< Of this host.
-  std::size_t DomainCount = 1;   //!< Failure domains of the deployment.
+  FailureDomainName Domain;           //!< Of this host.
+  std::size_t DomainCount = 1;        //!< Failure domains of the deployment.
   std::span<const ServerToken> Tried; //!< Servers that this flow was sent to.
   TimePoint Now;
 };
 
 //! Why a server was chosen, for the log.
 enum class PlacementReason {
-  OwnDomain,   //!< Own failure domain, which has room.
-  AnyDomain,   //!< Too few usable servers in the own failure domain.
-  LatelyGone,  //!< Only servers are left whose registry entry just vanished.
-  Silent,      //!< Only servers are left that did not answer lately.
-  NoServer,    //!< None is left.
+  OwnDomain,  //!< Own failure domain, which has room.
+  AnyDomain,  //!< Too few usable servers in the own failure domain.
+  LatelyGone, //!< Only servers are left whose registry entry just vanished.
+  Silent,     //!< Only servers are left that did not answer lately.
+  NoServer,   //!< None is left.
 };
 
 const char *toString(PlacementReason Reason);
--- a/packages/forwarding/src/buckthorndeck/forwarding/Registry.h
+++ b/packages/forwarding/src/buckthorndeck/forwarding/Registry.h
@@ -24,7 +24,7 @@
 struct RegistryChanges {
   std::vector<ServerChange> Servers;
   std::optional<RouteSet> Routes;
-  StoreRevision AsOf; //!< Of the whole store; later changes are missing.
+  StoreRevision AsOf;     //!< Of the whole store; later changes are missing.
   std::size_t Events = 0; //!< Including those of no interest.
 };
 
--- a/packages/forwarding/src/buckthorndeck/forwarding/RegistryFeed.cpp
+++ b/packages/forwarding/src/buckthorndeck/forwarding/RegistryFeed.cpp
@@ -12,8 +12,8 @@
 constexpr Milliseconds RefreshInterval{1000};
 
 void logLost(const Error &Failure, unsigned Failures, TimePoint AnsweredAt) {
-  const auto Age = std::chrono::duration_cast<Milliseconds>(
-      Clock::now() - AnsweredAt);
+  const auto Age =
+      std::chrono::duration_cast<Milliseconds>(Clock::now() - AnsweredAt);
   log(LogLevel::Warn, Failures == 1 ? "store_lost" : "store_call_failed",
       {{"step", Failure.Step},
        {"peer", Failure.Peer},
@@ -86,6 +86,11 @@
 
 Task<bool> RegistryFeed::readRoutes() {
   Expected<RegistryChanges> Changes = co_await Source.readRoutes();
+  if (!Changes && Changes.error().Code == ErrorCode::NotFound) {
+    // Nothing is published yet; the watch brings the first version.
+    recordAnswer(std::nullopt);
+    co_return true;
+  }
   if (!Changes) {
     recordAnswer(Changes.error());
     co_return false;
--- a/packages/forwarding/src/buckthorndeck/forwarding/RegistryFeed.h
+++ b/packages/forwarding/src/buckthorndeck/forwarding/RegistryFeed.h
@@ -12,11 +12,9 @@
 namespace buckthorndeck::forwarding {
 
 struct RegistryFeedOptions {
-  //! Longest wait of one watch. It bounds how long a connection that has gone
-  //! silent hides changes.
-  Milliseconds WatchWait{4000};
-  //! Pause after changes, so that several arrive by one call. Changes must be
-  //! in force 3 s after they were made.
+  //! Longest wait of one watch.
+  Milliseconds WatchWait{20000};
+  //! Pause after changes, so that several arrive by one call.
   Milliseconds ChangePause{1000};
   config::BackoffOptions Backoff{.First = Milliseconds(100),
                                  .Max = Milliseconds(1000)};
--- a/packages/forwarding/src/buckthorndeck/forwarding/ServerDirectory.cpp
+++ b/packages/forwarding/src/buckthorndeck/forwarding/ServerDirectory.cpp
@@ -88,9 +88,9 @@
   return Named->second;
 }
 
-std::vector<Server *>
-ServerDirectory::retain(std::vector<std::string> Present,
-                        StoreRevision Revision, TimePoint Now) {
+std::vector<Server *> ServerDirectory::retain(std::vector<std::string> Present,
+                                              StoreRevision Revision,
+                                              TimePoint Now) {
   std::vector<Server *> Removed;
   std::sort(Present.begin(), Present.end());
   for (const auto &[Name, Known] : ByName)
--- a/packages/forwarding/src/buckthorndeck/forwarding/ServerDirectory.h
+++ b/packages/forwarding/src/buckthorndeck/forwarding/ServerDirectory.h
@@ -47,9 +47,9 @@
   ServerRecord Record;
   ServerToken Token;
   StoreRevision Revision;
-  bool Registered = true;  //!< Its registry entry exists.
-  TimePoint RemovedAt;     //!< When Registered became false.
-  TimePoint WarmAt;        //!< End of its slow start.
+  bool Registered = true; //!< Its registry entry exists.
+  TimePoint RemovedAt;    //!< When Registered became false.
+  TimePoint WarmAt;       //!< End of its slow start.
   Reachability State = Reachability::Reachable;
   TimePoint ProgressAt;    //!< Last proof in the packets that it answers.
   TimePoint NextCheckAt;   //!< Earliest next health check.
--- a/packages/net/src/buckthorndeck/net/DatagramBatch.cpp
+++ b/packages/net/src/buckthorndeck/net/DatagramBatch.cpp
@@ -22,9 +22,8 @@
 };
 
 DatagramBatch::DatagramBatch(const DatagramBatchOptions &Options)
-    : Options(Options),
-      Buffer(Options.Capacity *
-             (Options.HeadroomBytes + Options.DatagramBytes)),
+    : Options(Options), Buffer(Options.Capacity *
+                               (Options.HeadroomBytes + Options.DatagramBytes)),
       Received(std::make_unique<Messages>(Options.Capacity)),
       Queued(std::make_unique<Messages>(Options.Capacity)) {}
 
@@ -33,9 +32,9 @@
 std::size_t DatagramBatch::receive(UdpSocket &Socket) {
   const std::size_t Stride = Options.HeadroomBytes + Options.DatagramBytes;
   for (std::size_t Index = 0; Index < Options.Capacity; ++Index)
-    Received->Vectors[Index] = {
-        .iov_base = Buffer.data() + Index * Stride + Options.HeadroomBytes,
-        .iov_len = Options.DatagramBytes};
+    Received->Vectors[Index] = {.iov_base = Buffer.data() + Index * Stride +
+                                            Options.HeadroomBytes,
+                                .iov_len = Options.DatagramBytes};
   const int Count =
       recvmmsg(Socket.nativeHandle(), Received->Headers.data(),
                static_cast<unsigned>(Options.Capacity), MSG_DONTWAIT, nullptr);
--- a/packages/net/src/buckthorndeck/net/DatagramBatch.h
+++ b/packages/net/src/buckthorndeck/net/DatagramBatch.h
@@ -10,8 +10,8 @@
 namespace buckthorndeck {
 
 struct DatagramBatchOptions {
-  std::size_t Capacity = 32;      //!< Datagrams received or sent by one call.
-  std::size_t HeadroomBytes = 0;  //!< Room before each received datagram.
+  std::size_t Capacity = 32;     //!< Datagrams received or sent by one call.
+  std::size_t HeadroomBytes = 0; //!< Room before each received datagram.
   std::size_t DatagramBytes = DatagramBufferBytes; //!< Longer ones are cut.
 };
 
--- a/packages/net/src/buckthorndeck/net/HttpClient.cpp
+++ b/packages/net/src/buckthorndeck/net/HttpClient.cpp
@@ -6,6 +6,9 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
+#include <netinet/tcp.h>
+
+#include <algorithm>
 
 namespace buckthorndeck {
 
@@ -14,7 +17,31 @@
 namespace http = boost::beast::http;
 
 namespace {
+
 constexpr std::size_t MaxResponseBytes = 4 * 1024 * 1024;
+//! A peer that can be reached accepts a connection within milliseconds. A call
+//! may wait far longer for its response.
+constexpr Milliseconds MaxConnectTime{1000};
+// A response may take long on purpose. A peer that no longer acknowledges
+// probes is noticed within the idle time and the probes: 3 s.
+constexpr int KeepAliveIdleSeconds = 1;
+constexpr int KeepAliveIntervalSeconds = 1;
+constexpr int KeepAliveProbes = 2;
+
+//! Makes the kernel notice a connection that has gone silent.
+void enableKeepAlive(asio::ip::tcp::socket &Socket) {
+  using Idle = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPIDLE>;
+  using Interval =
+      asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPINTVL>;
+  using Probes = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPCNT>;
+  // Without the options a silent connection lasts until the call's timeout.
+  boost::system::error_code Ignored;
+  Socket.set_option(asio::socket_base::keep_alive(true), Ignored);
+  Socket.set_option(Idle(KeepAliveIdleSeconds), Ignored);
+  Socket.set_option(Interval(KeepAliveIntervalSeconds), Ignored);
+  Socket.set_option(Probes(KeepAliveProbes), Ignored);
+}
+
 } // namespace
 
 Task<Expected<HttpResponse>> callHttp(TcpEndpoint Peer, HttpRequest Request,
@@ -33,11 +60,14 @@
     co_return Failed(ErrorCode::Invalid, "unknown method");
 
   beast::tcp_stream Stream(co_await asio::this_coro::executor);
-  Stream.expires_after(Timeout);
+  const TimePoint Deadline = Clock::now() + Timeout;
+  Stream.expires_after(std::min(Timeout, MaxConnectTime));
   auto [ConnectCode] =
       co_await Stream.async_connect(Peer, asio::as_tuple(asio::use_awaitable));
   if (ConnectCode)
     co_return Failed(ErrorCode::Unavailable, ConnectCode.message());
+  enableKeepAlive(Stream.socket());
+  Stream.expires_at(Deadline);
 
   http::request<http::string_body> Message(Method, Request.Target, 11);
   Message.set(http::field::host, toString(Peer));
