--- a/packages/entryhost/src/buckthorndeck/entryhost/PacketSettings.cpp
+++ b/packages/entryhost/src/buckthorndeck/entryhost/PacketSettings.cpp
@@ -6,6 +6,9 @@
 
 namespace {
 
+//! For the next call, which brings what a lost watch missed.
+constexpr Milliseconds WatchMargin{200};
+constexpr Milliseconds MinWatchWait{100};
 //! The rest of the time to apply a change is for slow calls and retries.
 constexpr int ChangePauseDivisor = 2;
 
@@ -41,11 +44,11 @@
       "default": 60,
       "description": "s for which the servers of open flows are remembered after they left the registry"},
     "store_timeout_ms": {"type": "integer", "minimum": 10, "maximum": 60000,
-      "default": 1000,
+      "default": 800,
       "description": "ms until a call to the store counts as lost; a watch gets its wait in addition"},
-    "watch_wait_ms": {"type": "integer", "minimum": 100, "maximum": 30000,
-      "default": 20000,
-      "description": "ms that a watch waits for a change"},
+    "detect_within_ms": {"type": "integer", "minimum": 500, "maximum": 60000,
+      "default": 4000,
+      "description": "ms within which a watch that the store forgot must be noticed; bounds how long a watch waits"},
     "apply_within_ms": {"type": "integer", "minimum": 100, "maximum": 600000,
       "default": 3000,
       "description": "ms within which a change in the store must be in force; half of it separates a change from the next watch, so that several changes arrive by one call"},
@@ -75,7 +78,9 @@
       std::chrono::seconds(Reader.value<unsigned>("flow_lifetime_s"));
   Result.StoreTimeout =
       Milliseconds(Reader.value<unsigned>("store_timeout_ms"));
-  Result.WatchWait = Milliseconds(Reader.value<unsigned>("watch_wait_ms"));
+  Result.WatchWait = std::max(
+      MinWatchWait, Milliseconds(Reader.value<unsigned>("detect_within_ms")) -
+                        Result.StoreTimeout - WatchMargin);
   Result.ChangePause = Milliseconds(Reader.value<unsigned>("apply_within_ms")) /
                        ChangePauseDivisor;
   Result.LogThreshold = Reader.logLevel("log_level");
--- a/packages/forwarding/src/buckthorndeck/forwarding/RegistryFeed.h
+++ b/packages/forwarding/src/buckthorndeck/forwarding/RegistryFeed.h
@@ -12,8 +12,9 @@
 namespace buckthorndeck::forwarding {
 
 struct RegistryFeedOptions {
-  //! Longest wait of one watch.
-  Milliseconds WatchWait{20000};
+  //! Longest wait of one watch. The store may forget a watch in an outage,
+  //! which only the end of the wait shows.
+  Milliseconds WatchWait{3000};
   //! Pause after changes, so that several arrive by one call.
   Milliseconds ChangePause{1000};
   config::BackoffOptions Backoff{.First = Milliseconds(100),
