Reset flows only with unanswered packets besides a failed health check

A server that fails its check is now unhealthy and gets no new flows; it is silent once packets went unanswered too.

--- a/packages/forwarding/src/buckthorndeck/forwarding/Forwarder.cpp
+++ b/packages/forwarding/src/buckthorndeck/forwarding/Forwarder.cpp
@@ -21,8 +21,8 @@
 constexpr Milliseconds CheckPause{500};
 //! Pause after a health check that said nothing.
 constexpr Milliseconds InconclusiveCheckPause{200};
-//! Pause between health checks of a silent server.
-constexpr Milliseconds SilentCheckPause{1000};
+//! Pause between health checks of a server that fails them.
+constexpr Milliseconds FailedCheckPause{1000};
 //! Without any sign of any server for this time the fault is on this side.
 constexpr Milliseconds IsolationTime{1000};
 //! Copies of an open arrive up to 600 ms after it.
@@ -30,6 +30,16 @@
 //! Late packets of a flow that both ends have closed arrive within this time.
 constexpr Milliseconds FinishedLifetime{2000};
 constexpr Milliseconds SweepInterval{1000};
+// Points for what went unanswered. An open needs no free slot, so that a server
+// that serves answers it at once; a request may be queued for longer than the
+// time after which its caller repeats it.
+constexpr unsigned UnansweredOpenPoints = 2;
+constexpr unsigned RetransmissionPoints = 1;
+constexpr unsigned RemovalPoints = 1;
+//! Points at which an unhealthy server is silent. A refusal may come from a
+//! server whose health check lies; nothing at all does not.
+constexpr unsigned TimedOutPoints = 1;
+constexpr unsigned RefusedPoints = 3;
 //! Weight of a new sample in the moving average of response times.
 constexpr double ResponseSampleWeight = 0.1;
 
@@ -67,20 +77,6 @@
   return "unknown";
 }
 
-const char *toString(CheckOutcome Outcome) {
-  switch (Outcome) {
-  case CheckOutcome::Connected:
-    return "connected";
-  case CheckOutcome::Refused:
-    return "refused";
-  case CheckOutcome::TimedOut:
-    return "timed_out";
-  case CheckOutcome::Inconclusive:
-    return "inconclusive";
-  }
-  return "unknown";
-}
-
 Forwarder::Forwarder(const ForwarderOptions &Options)
     : Options(Options), Random(Options.RandomSeed) {}
 
@@ -263,8 +259,10 @@
   if (Update.Retransmission) {
     ++Counters.Retransmissions;
     // A server that has answered others lately lost a packet at most.
-    if (Target.ProgressAt < Known.WaitingSince)
+    if (Target.ProgressAt < Known.WaitingSince) {
       doubt(Target, "retransmission", Now);
+      addEvidence(Target, RetransmissionPoints, Now);
+    }
   }
 }
 
@@ -280,6 +278,7 @@
          {"flow", toString(Key)}});
     Target.State = Reachability::Reachable;
   }
+  Target.Evidence = 0;
   if (Update.ResponseTime == Clock::duration{0})
     return;
   const double Sample =
@@ -337,36 +336,63 @@
   if (!Target)
     return;
   Target->Checking = false;
-  const bool Answers =
-      Outcome == CheckOutcome::Connected || Target->ProgressAt >= Started;
-  if (!Answers && Outcome != CheckOutcome::Inconclusive) {
-    silence(*Target, Outcome, Now);
+  const bool Failed =
+      Outcome == CheckOutcome::Refused || Outcome == CheckOutcome::TimedOut;
+  if (Failed && Target->ProgressAt < Started) {
+    markUnhealthy(*Target, Outcome, Now);
     return;
   }
-  Target->NextCheckAt = Now + (Answers ? CheckPause : InconclusiveCheckPause);
-  if (Target->State == Reachability::Silent && !Answers)
+  const bool Inconclusive = Outcome == CheckOutcome::Inconclusive;
+  Target->NextCheckAt =
+      Now + (Inconclusive ? InconclusiveCheckPause : CheckPause);
+  if (Inconclusive && Target->State != Reachability::Doubted)
     return;
-  if (Target->State == Reachability::Silent || !Answers)
+  if (Target->State != Reachability::Doubted || Inconclusive)
     log(LogLevel::Info, "server_reachable",
         {{"server", Target->Record.Name},
          {"was", toString(Target->State)},
          {"cause", "health_check"},
          {"health_check", toString(Outcome)}});
   Target->State = Reachability::Reachable;
+  Target->Evidence = 0;
 }
 
-void Forwarder::silence(Server &Target, CheckOutcome Outcome, TimePoint Now) {
-  Target.NextCheckAt = Now + SilentCheckPause;
-  if (std::find(SilentServers.begin(), SilentServers.end(), Target.Token) ==
-      SilentServers.end())
-    SilentServers.push_back(Target.Token);
+void Forwarder::markUnhealthy(Server &Target, CheckOutcome Outcome,
+                              TimePoint Now) {
+  Target.NextCheckAt = Now + FailedCheckPause;
+  Target.LastCheck = Outcome;
+  if (std::find(FailedServers.begin(), FailedServers.end(), Target.Token) ==
+      FailedServers.end())
+    FailedServers.push_back(Target.Token);
   if (Target.State == Reachability::Silent)
     return;
+  if (Target.State != Reachability::Unhealthy)
+    log(LogLevel::Info, "server_unhealthy",
+        {{"server", Target.Record.Name},
+         {"health_check", toString(Outcome)},
+         {"evidence", Target.Evidence},
+         {"progress_age_ms", ageMs(Target.ProgressAt, Now)},
+         {"server_revision", Target.Revision.value()}});
+  Target.State = Reachability::Unhealthy;
+  addEvidence(Target, 0, Now);
+}
+
+void Forwarder::addEvidence(Server &Target, unsigned Points, TimePoint Now) {
+  Target.Evidence += Points;
+  const unsigned Needed = Target.LastCheck == CheckOutcome::TimedOut
+                              ? TimedOutPoints
+                              : RefusedPoints;
+  if (Target.State == Reachability::Unhealthy && Target.Evidence >= Needed)
+    silence(Target, Now);
+}
+
+void Forwarder::silence(Server &Target, TimePoint Now) {
   Target.State = Reachability::Silent;
   ++Counters.ServersSilenced;
   log(LogLevel::Warn, "server_silent",
       {{"server", Target.Record.Name},
-       {"health_check", toString(Outcome)},
+       {"health_check", toString(Target.LastCheck)},
+       {"evidence", Target.Evidence},
        {"progress_age_ms", ageMs(Target.ProgressAt, Now)},
        {"registered", Target.Registered},
        {"server_revision", Target.Revision.value()},
@@ -420,7 +446,7 @@
        {"warmup_ms", Known.Record.WarmupLeft.count()},
        {"server_revision", Revision.value()}});
   // A new entry shows that the process runs.
-  if (Known.State == Reachability::Silent)
+  if (Known.State != Reachability::Reachable)
     Known.NextCheckAt = Now;
 }
 
@@ -435,8 +461,14 @@
        {"flows", Known->Flows},
        {"progress_age_ms", ageMs(Known->ProgressAt, Now)},
        {"server_revision", Revision.value()}});
-  if (Known->Flows > 0)
-    doubt(*Known, "removed", Now);
+  doubtRemoved(*Known, Now);
+}
+
+void Forwarder::doubtRemoved(Server &Target, TimePoint Now) {
+  if (Target.Flows == 0)
+    return;
+  doubt(Target, "removed", Now);
+  addEvidence(Target, RemovalPoints, Now);
 }
 
 void Forwarder::retainServers(std::vector<std::string> Present,
@@ -447,8 +479,7 @@
          {"cause", "absent_from_registry"},
          {"flows", Known->Flows},
          {"server_revision", Revision.value()}});
-    if (Known->Flows > 0)
-      doubt(*Known, "removed", Now);
+    doubtRemoved(*Known, Now);
   }
 }
 
@@ -492,8 +523,10 @@
     return;
   Opening &Known = Found->second;
   Server *Before = Servers.find(Known.Tried.back());
-  if (Before)
+  if (Before && Before->ProgressAt < Known.StartedAt) {
     doubt(*Before, "open_unanswered", Now);
+    addEvidence(*Before, UnansweredOpenPoints, Now);
+  }
   const Route *Entry = Routes.find(Key.Service);
   if (!Entry || Known.Tried.size() >= MaxOpenAttempts ||
       !routing::takeRetry(HedgeBudget, Now))
@@ -532,9 +565,9 @@
   if (isolated(Now))
     if (const Server *Any = controlFor(ServerToken()))
       doubt(*Servers.find(Any->Token), "isolated", Now);
-  std::erase_if(SilentServers, [&](ServerToken Token) {
+  std::erase_if(FailedServers, [&](ServerToken Token) {
     Server *Target = Servers.find(Token);
-    if (!Target || Target->State != Reachability::Silent)
+    if (!Target || Target->State == Reachability::Reachable)
       return true;
     if (Target->Checking || Now < Target->NextCheckAt)
       return false;
--- a/packages/forwarding/src/buckthorndeck/forwarding/Forwarder.h
+++ b/packages/forwarding/src/buckthorndeck/forwarding/Forwarder.h
@@ -47,16 +47,6 @@
   Refusal Reason = Refusal::None;
 };
 
-//! What a health check says of a server.
-enum class CheckOutcome {
-  Connected,
-  Refused,      //!< The server's host answers, the server does not.
-  TimedOut,     //!< Nothing answered, while another server did.
-  Inconclusive, //!< Nothing answered, and another server did not either.
-};
-
-const char *toString(CheckOutcome Outcome);
-
 //! A packet to send to a server, for example another copy of an open.
 struct OutgoingPacket {
   Bytes Packet;
@@ -96,10 +86,11 @@
  * receives them. The flow table only serves to notice servers that do not
  * answer.
  *
- * A server is doubted when an open or a request stays unanswered, and counts
- * as silent once a health check fails too while no packet shows progress and
- * another server can be reached. Flows of silent servers are reset, so that
- * their callers turn elsewhere at once instead of at their deadline.
+ * A server is doubted when an open or a request stays unanswered. If a health
+ * check fails too while another server can be reached, it is unhealthy and gets
+ * no new flows. Health checks can be wrong, so that its flows are reset only
+ * once enough packets went unanswered as well; their callers then turn
+ * elsewhere at once instead of at their deadline.
  */
 class Forwarder {
 public:
@@ -172,7 +163,10 @@
   void eraseFlow(const FlowKey &Key);
   void hedgeOpen(const FlowKey &Key, TimePoint Now);
   void doubt(Server &Target, const char *Cause, TimePoint Now);
-  void silence(Server &Target, CheckOutcome Outcome, TimePoint Now);
+  void doubtRemoved(Server &Target, TimePoint Now);
+  void addEvidence(Server &Target, unsigned Points, TimePoint Now);
+  void markUnhealthy(Server &Target, CheckOutcome Outcome, TimePoint Now);
+  void silence(Server &Target, TimePoint Now);
   void resetFlowsOf(const Server &Target);
   Refusal deadReason(const Server &Target) const;
   bool isolated(TimePoint Now) const;
@@ -188,7 +182,7 @@
   boost::unordered_flat_map<FlowKey, Opening, FlowKeyHash> Openings;
   std::deque<DueOpening> DueOpenings;
   std::deque<DueResponse> DueResponses;
-  std::vector<ServerToken> SilentServers; //!< To be checked again.
+  std::vector<ServerToken> FailedServers; //!< To be checked again.
   ForwarderWork Work;
   ForwarderCounters Counters;
   routing::RetryBudget HedgeBudget;
--- a/packages/forwarding/src/buckthorndeck/forwarding/Placement.cpp
+++ b/packages/forwarding/src/buckthorndeck/forwarding/Placement.cpp
@@ -27,7 +27,13 @@
 
 bool isUsable(const Server &Known) {
   return Known.Registered && !Known.Record.Draining &&
-         Known.State != Reachability::Silent;
+         (Known.State == Reachability::Reachable ||
+          Known.State == Reachability::Doubted);
+}
+
+bool isUnhealthy(const Server &Known) {
+  return Known.Registered && !Known.Record.Draining &&
+         Known.State == Reachability::Unhealthy;
 }
 
 bool isLatelyGone(const Server &Known, TimePoint Now) {
@@ -88,6 +94,8 @@
     return "own_domain";
   case PlacementReason::AnyDomain:
     return "any_domain";
+  case PlacementReason::Unhealthy:
+    return "unhealthy";
   case PlacementReason::LatelyGone:
     return "lately_gone";
   case PlacementReason::Silent:
--- a/packages/forwarding/src/buckthorndeck/forwarding/Placement.h
+++ b/packages/forwarding/src/buckthorndeck/forwarding/Placement.h
@@ -20,6 +20,7 @@
 enum class PlacementReason {
   OwnDomain,  //!< Own failure domain, which has room.
   AnyDomain,  //!< Too few usable servers in the own failure domain.
+  Unhealthy,  //!< Only servers are left that fail their health check.
   LatelyGone, //!< Only servers are left whose registry entry just vanished.
   Silent,     //!< Only servers are left that did not answer lately.
   NoServer,   //!< None is left.
--- a/packages/forwarding/src/buckthorndeck/forwarding/ServerDirectory.cpp
+++ b/packages/forwarding/src/buckthorndeck/forwarding/ServerDirectory.cpp
@@ -20,12 +20,28 @@
     return "reachable";
   case Reachability::Doubted:
     return "doubted";
+  case Reachability::Unhealthy:
+    return "unhealthy";
   case Reachability::Silent:
     return "silent";
   }
   return "unknown";
 }
 
+const char *toString(CheckOutcome Outcome) {
+  switch (Outcome) {
+  case CheckOutcome::Connected:
+    return "connected";
+  case CheckOutcome::Refused:
+    return "refused";
+  case CheckOutcome::TimedOut:
+    return "timed_out";
+  case CheckOutcome::Inconclusive:
+    return "inconclusive";
+  }
+  return "unknown";
+}
+
 SocketAddress toSocketAddress(const UdpEndpoint &Where) {
   return {.Ip = Where.address().to_v4().to_uint(), .Port = Where.port()};
 }
--- a/packages/forwarding/src/buckthorndeck/forwarding/ServerDirectory.h
+++ b/packages/forwarding/src/buckthorndeck/forwarding/ServerDirectory.h
@@ -34,14 +34,25 @@
 ServerToken tokenOf(const ServerRecord &Record);
 
 //! Whether a server process can be reached from this host.
-enum class Reachability {
+enum class Reachability : std::uint8_t {
   Reachable, //!< Or never doubted.
-  Doubted,   //!< Packets went unanswered; a health check is due or under way.
-  Silent,    //!< The health check failed too.
+  Doubted,   //!< Packets went unanswered; a health check is under way.
+  Unhealthy, //!< The health check failed; it may still serve its flows.
+  Silent,    //!< Packets go unanswered as well.
 };
 
 const char *toString(Reachability State);
 
+//! What a health check says of a server.
+enum class CheckOutcome : std::uint8_t {
+  Connected,
+  Refused,      //!< The server's host answers, the server does not.
+  TimedOut,     //!< Nothing answered, while another server did.
+  Inconclusive, //!< Nothing answered, and another server did not either.
+};
+
+const char *toString(CheckOutcome Outcome);
+
 //! A server process and what this host has seen of it.
 struct Server {
   ServerRecord Record;
@@ -51,6 +62,9 @@
   TimePoint RemovedAt;    //!< When Registered became false.
   TimePoint WarmAt;       //!< End of its slow start.
   Reachability State = Reachability::Reachable;
+  CheckOutcome LastCheck = CheckOutcome::Connected;
+  //! Points for packets that went unanswered since ProgressAt.
+  unsigned Evidence = 0;
   TimePoint ProgressAt;    //!< Last proof in the packets that it answers.
   TimePoint NextCheckAt;   //!< Earliest next health check.
   bool Checking = false;   //!< A health check is under way.
