--- a/packages/entryhost/src/buckthorndeck/entryhost/PacketHost.cpp
+++ b/packages/entryhost/src/buckthorndeck/entryhost/PacketHost.cpp
@@ -21,6 +21,8 @@
 using forwarding::PacketAction;
 using forwarding::PacketFormat;
 using forwarding::PacketHeader;
+using forwarding::Peer;
+using forwarding::PeerDirectory;
 using forwarding::Server;
 using forwarding::ServerToken;
 using forwarding::Verdict;
@@ -38,6 +40,9 @@
 constexpr Milliseconds LateTimer{20};
 //! Due work is done in steps of this size, to share wake-ups.
 constexpr Milliseconds TimerStep{10};
+//! A host that starts while the store is away hears of a peer within this time
+//! times the number of hosts in its failure domain over those that send.
+constexpr Milliseconds HeartbeatInterval{500};
 //! Routers ask twice a second and take a host out after two misses.
 constexpr Milliseconds RouterReaction{1250};
 //! Without packets for this time the routers have moved on.
@@ -87,10 +92,11 @@
 struct PacketHost::Parts {
   Parts(const Executor &Where, const PacketSettings &Options,
         const PacketFormat &Format, forwarding::RegistrySource Source,
-        UdpSocket Packets, HttpServer Ready, HttpServer MetricsServer)
+        UdpSocket Packets, UdpSocket Heartbeats, HttpServer Ready,
+        HttpServer MetricsServer)
       : Where(Where), Options(Options), Format(Format),
-        Packets(std::move(Packets)), Ready(std::move(Ready)),
-        MetricsServer(std::move(MetricsServer)),
+        Packets(std::move(Packets)), Heartbeats(std::move(Heartbeats)),
+        Ready(std::move(Ready)), MetricsServer(std::move(MetricsServer)),
         Batch({.Capacity = BatchCapacity,
                .HeadroomBytes = Format.ServerPrefixBytes,
                .DatagramBytes = PacketBufferBytes}),
@@ -98,15 +104,21 @@
                    .DomainCount = Options.FailureDomainCount,
                    .FlowLifetime = Options.FlowLifetime,
                    .RandomSeed = Options.RandomSeed}),
+        Peers({.Name = Options.Name,
+               .Domain = Options.FailureDomain,
+               .Heartbeat = this->Heartbeats.localEndpoint(),
+               .Snapshot = this->MetricsServer.localEndpoint()}),
         Feed(Where,
              {.WatchWait = Options.WatchWait,
               .ChangePause = Options.ChangePause,
               .RandomSeed = Options.RandomSeed + 1},
-             std::move(Source), Decisions),
-        Timer(Where), Stopped(Where) {}
+             std::move(Source), Decisions, Peers),
+        Random(Options.RandomSeed + 2), Timer(Where), Stopped(Where) {}
 
   Task<> receivePackets();
   Task<> runTimer();
+  Task<> sendHeartbeats();
+  Task<> receiveHeartbeats();
   Task<> checkServer(ServerToken Token, TcpEndpoint Address);
   Task<std::optional<HttpResponse>> answerReady(HttpRequest Request);
   Task<std::optional<HttpResponse>> answerMetrics(HttpRequest Request);
@@ -120,11 +132,14 @@
   PacketSettings Options;
   PacketFormat Format;
   UdpSocket Packets;
+  UdpSocket Heartbeats;
   HttpServer Ready;
   HttpServer MetricsServer;
   DatagramBatch Batch;
   Forwarder Decisions;
+  PeerDirectory Peers;
   forwarding::RegistryFeed Feed;
+  RandomEngine Random;
   Notifier Timer;
   Notifier Stopped;
   TimePoint TimerDue = TimePoint::max(); //!< What the timer task waits for.
@@ -144,6 +159,9 @@
   auto Packets = UdpSocket::bind(Where, Options.PacketListen);
   if (!Packets)
     return Unexpected(Packets.error());
+  auto Heartbeats = UdpSocket::bind(Where, Options.HeartbeatListen);
+  if (!Heartbeats)
+    return Unexpected(Heartbeats.error());
   auto Ready = HttpServer::bind(Where, Options.ReadyListen);
   if (!Ready)
     return Unexpected(Ready.error());
@@ -152,7 +170,7 @@
     return Unexpected(MetricsServer.error());
   return std::unique_ptr<PacketHost>(new PacketHost(std::make_unique<Parts>(
       Where, Options, Format, std::move(Source), std::move(*Packets),
-      std::move(*Ready), std::move(*MetricsServer))));
+      std::move(*Heartbeats), std::move(*Ready), std::move(*MetricsServer))));
 }
 
 bool PacketHost::Parts::isReady() const {
@@ -243,6 +261,40 @@
   }
 }
 
+//! Lets hosts that have just started know whom they can ask.
+Task<> PacketHost::Parts::sendHeartbeats() {
+  const Bytes Message = encodeCbor(forwarding::encodePeer(Peers.self()));
+  while (!Stopping) {
+    co_await sleepFor(HeartbeatInterval);
+    const std::optional<Peer> Receiver = Peers.random(Random);
+    // A lost heartbeat is made good by the next.
+    if (Receiver && Feed.loaded() && !Stopping)
+      Heartbeats.send(Message, Receiver->Heartbeat);
+  }
+}
+
+Task<> PacketHost::Parts::receiveHeartbeats() {
+  while (true) {
+    const Expected<ReceivedDatagram> Received = co_await Heartbeats.receive();
+    if (!Received)
+      co_return;
+    const std::string Sender = toString(Received->Sender);
+    const auto Message =
+        decodeCbor(Received->Payload, "receive heartbeat", Sender);
+    if (!Message) {
+      ++State.Undecodable;
+      continue;
+    }
+    const auto Known = forwarding::decodePeer(*Message, Sender);
+    if (!Known) {
+      ++State.Undecodable;
+      continue;
+    }
+    Peers.update(*Known);
+    Feed.peerHeard();
+  }
+}
+
 Task<> PacketHost::Parts::checkServer(ServerToken Token, TcpEndpoint Address) {
   const TimePoint Started = Clock::now();
   std::optional<TcpEndpoint> Control;
@@ -267,6 +319,11 @@
 Task<std::optional<HttpResponse>>
 PacketHost::Parts::answerMetrics(HttpRequest Request) {
   HttpResponse Answer;
+  if (Request.Target == forwarding::SnapshotPath && Feed.loaded()) {
+    Answer.ContentType = "application/cbor";
+    Answer.Body = std::string(toText(Feed.snapshot()));
+    co_return Answer;
+  }
   if (Request.Target != "/metrics") {
     Answer.Status = 404;
     co_return Answer;
@@ -296,6 +353,9 @@
         }));
   spawn(Host.Where, "packets", Host.receivePackets());
   spawn(Host.Where, "timer", Host.runTimer());
+  spawn(Host.Where, "registration", Host.Feed.keepRegistered());
+  spawn(Host.Where, "heartbeat_sender", Host.sendHeartbeats());
+  spawn(Host.Where, "heartbeat_receiver", Host.receiveHeartbeats());
   co_await Host.Stopped.wait();
 }
 
@@ -314,6 +374,7 @@
   }
   Host.Feed.stop();
   Host.Packets.close();
+  Host.Heartbeats.close();
   Host.Stopped.notifyAll();
 }
 
--- a/packages/entryhost/src/buckthorndeck/entryhost/PacketSettings.cpp
+++ b/packages/entryhost/src/buckthorndeck/entryhost/PacketSettings.cpp
@@ -15,7 +15,8 @@
 constexpr const char *SchemaText = R"json({
   "type": "object",
   "required": ["name", "failure_domain", "failure_domains", "packet_listen",
-               "ready_listen", "ready_path", "metrics_listen", "store"],
+               "ready_listen", "ready_path", "metrics_listen", "host_ip",
+               "internal_ports", "store"],
   "properties": {
     "name": {"type": "string", "minLength": 1, "maxLength": 200,
       "description": "name of this entry host, unique in the fleet"},
@@ -34,7 +35,12 @@
       "description": "path that answers with 200 while this host takes packets, else with 503"},
     "metrics_listen": {"type": "string",
       "pattern": "^[0-9.]{7,15}:[0-9]{1,5}$",
-      "description": "TCP address of the Prometheus endpoint"},
+      "description": "TCP address of the Prometheus endpoint, at /metrics, and of the snapshot for peers"},
+    "host_ip": {"type": "string", "pattern": "^[0-9.]{7,15}$",
+      "description": "address of this host for its peers"},
+    "internal_ports": {"type": "array", "minItems": 1,
+      "items": {"type": "integer", "minimum": 0, "maximum": 65535},
+      "description": "ports for traffic between entry hosts; the first takes heartbeats over UDP"},
     "store": {"type": "string", "pattern": "^[0-9.]{7,15}:[0-9]{1,5}$",
       "description": "TCP address of the platform's store"},
     "stop_grace_ms": {"type": "integer", "minimum": 0, "maximum": 600000,
@@ -72,6 +78,7 @@
   Result.ReadyListen = Reader.tcp("ready_listen");
   Result.ReadyPath = Reader.text("ready_path");
   Result.MetricsListen = Reader.tcp("metrics_listen");
+  Result.HeartbeatListen = Reader.udp("host_ip", "internal_ports");
   Result.Store = Reader.tcp("store");
   Result.StopGrace = Milliseconds(Reader.value<unsigned>("stop_grace_ms"));
   Result.FlowLifetime =
--- a/packages/entryhost/src/buckthorndeck/entryhost/PacketSettings.h
+++ b/packages/entryhost/src/buckthorndeck/entryhost/PacketSettings.h
@@ -21,6 +21,7 @@
   TcpEndpoint ReadyListen;
   std::string ReadyPath;
   TcpEndpoint MetricsListen;
+  UdpEndpoint HeartbeatListen;
   TcpEndpoint Store;
   Milliseconds StopGrace{};
   std::chrono::seconds FlowLifetime{};
--- a/packages/entryhost/src/buckthorndeck/entryhost/SettingsReader.cpp
+++ b/packages/entryhost/src/buckthorndeck/entryhost/SettingsReader.cpp
@@ -13,6 +13,13 @@
   return unwrap(Key, parseUdpEndpoint(text(Key), "read settings"));
 }
 
+UdpEndpoint SettingsReader::udp(const char *IpKey, const char *PortsKey) {
+  const std::string Address =
+      text(IpKey) + ":" +
+      std::to_string(Document.at(PortsKey).at(0).get<int>());
+  return unwrap(IpKey, parseUdpEndpoint(Address, "read settings"));
+}
+
 std::vector<UdpEndpoint> SettingsReader::udpList(const char *Key) {
   std::vector<UdpEndpoint> Result;
   for (const Json &Item : Document.value(Key, Json::array()))
--- a/packages/entryhost/src/buckthorndeck/entryhost/SettingsReader.h
+++ b/packages/entryhost/src/buckthorndeck/entryhost/SettingsReader.h
@@ -23,6 +23,8 @@
 
   TcpEndpoint tcp(const char *Key);
   UdpEndpoint udp(const char *Key);
+  //! The address of one field with the first port of another.
+  UdpEndpoint udp(const char *IpKey, const char *PortsKey);
   std::vector<UdpEndpoint> udpList(const char *Key);
   std::string text(const char *Key) const;
   //! Number of items of an array.
--- a/packages/forwarding/src/buckthorndeck/forwarding/RegistryFeed.cpp
+++ b/packages/forwarding/src/buckthorndeck/forwarding/RegistryFeed.cpp
@@ -1,6 +1,8 @@
 #include "buckthorndeck/forwarding/RegistryFeed.h"
 
 #include "buckthorndeck/base/Log.h"
+#include "buckthorndeck/forwarding/Snapshot.h"
+#include "buckthorndeck/net/HttpClient.h"
 
 #include <algorithm>
 
@@ -10,6 +12,13 @@
 
 //! Least time between two refreshes that packets with unknown tokens cause.
 constexpr Milliseconds RefreshInterval{1000};
+//! A peer of the own failure domain answers within milliseconds.
+constexpr Milliseconds PeerTimeout{500};
+//! A lease is renewed this often within its lifetime.
+constexpr int LeaseRenewalDivisor = 3;
+//! Other hosts need the entry only when they start, so that retries are slow.
+constexpr config::BackoffOptions RegisterBackoff{.First = Milliseconds(1000),
+                                                 .Max = Milliseconds(30000)};
 
 void logLost(const Error &Failure, unsigned Failures, TimePoint AnsweredAt) {
   const auto Age =
@@ -23,25 +32,54 @@
        {"answer_age_ms", AnsweredAt == TimePoint{} ? -1 : Age.count()}});
 }
 
-void logLoaded(StoreRevision Position, std::size_t Servers,
-               ConfigVersion Version) {
+void logLoaded(const std::string &From, StoreRevision Position,
+               Forwarder &Target) {
   log(LogLevel::Info, "registry_loaded",
-      {{"revision", Position.value()},
-       {"servers", Servers},
-       {"config_version", Version.value()}});
+      {{"from", From},
+       {"revision", Position.value()},
+       {"servers", Target.servers().size()},
+       {"config_version", Target.routes().version().value()}});
+}
+
+void logPeerFailed(const Peer &Asked, const Expected<HttpResponse> &Answer) {
+  log(LogLevel::Warn, "snapshot_failed",
+      {{"peer", Asked.Name.value()},
+       {"error", Answer ? "status " + std::to_string(Answer->Status)
+                        : Answer.error().Message}});
+}
+
+void logPeerRefused(const Peer &Asked, const Error &Failure) {
+  log(LogLevel::Warn, "snapshot_failed",
+      {{"peer", Asked.Name.value()}, {"error", describe(Failure)}});
+}
+
+void logNotRegistered(const Error &Failure) {
+  log(LogLevel::Warn, "registration_failed", {{"error", describe(Failure)}});
 }
 
 } // namespace
 
 RegistryFeed::RegistryFeed(Executor Where, const RegistryFeedOptions &Options,
-                           RegistrySource Source, Forwarder &Target)
-    : Options(Options), Source(std::move(Source)), Target(Target),
-      Wake(std::make_shared<Notifier>(std::move(Where))),
+                           RegistrySource Source, Forwarder &Target,
+                           PeerDirectory &Peers)
+    : Options(Options), Source(std::move(Source)), Target(Target), Peers(Peers),
+      Wake(std::make_shared<Notifier>(Where)),
+      RegisterWake(std::make_shared<Notifier>(Where)),
       Random(Options.RandomSeed) {}
 
 void RegistryFeed::stop() {
   Stopped = true;
   Wake->notifyAll();
+  RegisterWake->notifyAll();
+}
+
+void RegistryFeed::peerHeard() {
+  if (!Loaded)
+    Wake->notifyAll();
+}
+
+Bytes RegistryFeed::snapshot() const {
+  return encodeSnapshot(Target.servers(), Target.routes(), Position);
 }
 
 void RegistryFeed::refresh() {
@@ -82,6 +120,14 @@
     else
       Target.removeServer(Change.Name, Change.Revision, Now);
   }
+  for (const PeerChange &Change : Changes.Peers) {
+    if (Change.Entry)
+      Peers.update(*Change.Entry);
+    else if (Change.Name == Peers.self().Name)
+      RegisterWake->notifyAll();
+    else
+      Peers.remove(Change.Name);
+  }
 }
 
 Task<bool> RegistryFeed::readRoutes() {
@@ -132,6 +178,17 @@
   co_return true;
 }
 
+Task<bool> RegistryFeed::readPeers() {
+  Expected<RegistryChanges> Changes = co_await Source.readPeers();
+  if (!Changes) {
+    recordAnswer(Changes.error());
+    co_return false;
+  }
+  recordAnswer(std::nullopt);
+  apply(*Changes);
+  co_return true;
+}
+
 Task<bool> RegistryFeed::load() {
   const bool HasServers = co_await readServers();
   if (!HasServers)
@@ -139,11 +196,72 @@
   const bool HasRoutes = co_await readRoutes();
   if (!HasRoutes)
     co_return false;
+  if (!Loaded)
+    logLoaded("store", Position, Target);
+  Loaded = true;
+  // Peers are needed only by hosts that start while the store is away.
+  co_await readPeers();
+  co_return true;
+}
+
+//! Takes servers and routes over from a host of the own failure domain.
+Task<bool> RegistryFeed::loadFromPeer() {
+  const std::optional<Peer> Chosen = Peers.random(Random);
+  if (!Chosen)
+    co_return false;
+  HttpRequest Request;
+  Request.Target = SnapshotPath;
+  const Expected<HttpResponse> Answer =
+      co_await callHttp(Chosen->Snapshot, std::move(Request), PeerTimeout);
+  if (!Answer || Answer->Status != 200) {
+    logPeerFailed(*Chosen, Answer);
+    co_return false;
+  }
+  Expected<RegistryChanges> Changes =
+      decodeSnapshot(toBytes(Answer->Body), Chosen->Name.value());
+  if (!Changes) {
+    logPeerRefused(*Chosen, Changes.error());
+    co_return false;
+  }
+  if (Changes->AsOf < Position || Changes->Routes->Version == ConfigVersion())
+    co_return false;
+  Position = Changes->AsOf;
+  apply(*Changes);
   Loaded = true;
-  logLoaded(Position, Target.servers().size(), Target.routes().version());
+  logLoaded(Chosen->Name.value(), Position, Target);
   co_return true;
 }
 
+//! Renews the lease, or gets one if there is none.
+Task<Expected<StoreLease>> RegistryFeed::holdLease(StoreLease Held) {
+  if (Held.Id == 0)
+    return Source.registerPeer(Peers.self());
+  return Source.renewLease(Held);
+}
+
+Task<> RegistryFeed::keepRegistered() {
+  StoreLease Lease;
+  unsigned Attempt = 0;
+  while (!Stopped) {
+    Expected<StoreLease> Held = co_await holdLease(Lease);
+    ++Calls;
+    Milliseconds Delay{};
+    if (Held) {
+      Lease = *Held;
+      Attempt = 0;
+      Delay = Lease.Lifetime / LeaseRenewalDivisor;
+    } else {
+      logNotRegistered(Held.error());
+      if (Held.error().Code == ErrorCode::NotFound)
+        Lease = StoreLease();
+      Delay = config::backoffDelay(RegisterBackoff, Attempt++, Random);
+    }
+    const bool Removed = co_await RegisterWake->waitUntil(Clock::now() + Delay);
+    if (Removed)
+      Lease = StoreLease();
+  }
+}
+
 //! Watches until the history is lost.
 Task<> RegistryFeed::follow() {
   while (!Stopped) {
@@ -169,12 +287,14 @@
 
 Task<> RegistryFeed::run() {
   while (!Stopped) {
-    const bool Complete = co_await load();
-    if (!Complete)
+    bool Complete = co_await load();
+    if (!Complete && !Loaded)
+      Complete = co_await loadFromPeer();
+    if (Complete)
+      co_await follow();
+    else
       co_await pause(config::backoffDelay(
           Options.Backoff, Failures == 0 ? 0 : Failures - 1, Random));
-    else
-      co_await follow();
   }
 }
 
--- a/packages/forwarding/src/buckthorndeck/forwarding/RegistryFeed.h
+++ b/packages/forwarding/src/buckthorndeck/forwarding/RegistryFeed.h
@@ -4,6 +4,7 @@
 #include "buckthorndeck/base/Random.h"
 #include "buckthorndeck/config/CallPolicy.h"
 #include "buckthorndeck/forwarding/Forwarder.h"
+#include "buckthorndeck/forwarding/Peers.h"
 #include "buckthorndeck/forwarding/Registry.h"
 #include "buckthorndeck/net/Notifier.h"
 
@@ -11,6 +12,9 @@
 
 namespace buckthorndeck::forwarding {
 
+//! Path at which a host serves its snapshot.
+inline constexpr const char *SnapshotPath = "/snapshot";
+
 struct RegistryFeedOptions {
   //! Longest wait of one watch. The store may forget a watch in an outage,
   //! which only the end of the wait shows.
@@ -26,15 +30,21 @@
 class RegistryFeed {
 public:
   RegistryFeed(Executor Where, const RegistryFeedOptions &Options,
-               RegistrySource Source, Forwarder &Target);
+               RegistrySource Source, Forwarder &Target, PeerDirectory &Peers);
 
   //! Runs until stop().
   Task<> run();
+  //! Keeps the own entry in the store until stop().
+  Task<> keepRegistered();
+  //! A peer was heard. A host without a configuration asks it for a snapshot.
+  void peerHeard();
+  //! Everything that a host needs which cannot read the store.
+  Bytes snapshot() const;
   void stop();
   //! Ends the current pause, at most once in a second.
   void refresh();
 
-  //! Whether everything was read once.
+  //! Whether everything was read once, from the store or from a peer.
   bool loaded() const { return Loaded; }
   //! When the store last answered; epoch if never.
   TimePoint answeredAt() const { return AnsweredAt; }
@@ -42,6 +52,9 @@
 
 private:
   Task<bool> load();
+  Task<bool> loadFromPeer();
+  Task<bool> readPeers();
+  Task<Expected<StoreLease>> holdLease(StoreLease Held);
   Task<bool> readRoutes();
   Task<bool> readServers();
   Task<> follow();
@@ -52,7 +65,9 @@
   RegistryFeedOptions Options;
   RegistrySource Source;
   Forwarder &Target;
+  PeerDirectory &Peers;
   std::shared_ptr<Notifier> Wake;
+  std::shared_ptr<Notifier> RegisterWake; //!< The own entry is gone.
   RandomEngine Random;
   StoreRevision Position; //!< Changes up to here are applied.
   TimePoint AnsweredAt;
--- a/packages/forwarding/src/buckthorndeck/forwarding/RouteTable.h
+++ b/packages/forwarding/src/buckthorndeck/forwarding/RouteTable.h
@@ -51,6 +51,13 @@
   //! newer version.
   bool isRemoved(const SocketAddress &Address) const;
 
+  //! Calls Visit with each route in force.
+  template <typename Visitor> void forEach(Visitor Visit) const {
+    for (const auto &[Address, Known] : Routes)
+      if (!Known.Removed)
+        Visit(Known.Value);
+  }
+
 private:
   struct Entry {
     Route Value;
--- /dev/null
+++ b/packages/forwarding/src/buckthorndeck/forwarding/Snapshot.cpp
@@ -0,0 +1,147 @@
+#include "buckthorndeck/forwarding/Snapshot.h"
+
+#include "buckthorndeck/base/FieldReader.h"
+
+#include <boost/asio/ip/address_v4.hpp>
+
+namespace buckthorndeck::forwarding {
+
+namespace {
+
+constexpr const char *Step = "read snapshot";
+constexpr std::size_t MaxNameBytes = 200;
+constexpr std::size_t MaxServers = 100'000;
+constexpr std::size_t MaxRoutes = 100'000;
+constexpr std::uint64_t MaxSlots = 1'000'000;
+constexpr std::uint64_t MaxWeight = 1'000'000;
+constexpr std::uint64_t MaxMilliseconds = 86'400'000;
+
+Json encodeServer(const Server &Known) {
+  const ServerRecord &Record = Known.Record;
+  return Json{{"name", Record.Name},
+              {"id", Record.Id.value()},
+              {"born", Record.Born.value()},
+              {"service", Record.Service.value()},
+              {"address", buckthorndeck::toString(Record.Address)},
+              {"failure_domain", Record.Domain.value()},
+              {"slots", Record.Slots},
+              {"draining", Record.Draining},
+              {"revision", Known.Revision.value()}};
+}
+
+Json encodeRoute(const Route &Entry) {
+  Json Services = Json::array();
+  for (const WeightedService &Choice : Entry.Services)
+    Services.push_back(
+        {{"service", Choice.Service.value()}, {"weight", Choice.Weight}});
+  return Json{{"ip", Entry.Address.Ip},
+              {"port", Entry.Address.Port},
+              {"services", Services}};
+}
+
+Expected<ServerChange> decodeServer(const Json &Value,
+                                    const std::string &Source) {
+  FieldReader Fields(Value, Step, Source);
+  ServerRecord Record{
+      .Name = Fields.text("name", MaxNameBytes, 1),
+      .Id = ServerId(Fields.number("id")),
+      .Born = Incarnation(Fields.number("born")),
+      .Service = ServiceName(Fields.text("service", MaxNameBytes, 1)),
+      .Domain =
+          FailureDomainName(Fields.text("failure_domain", MaxNameBytes, 1)),
+      .Slots = static_cast<std::uint32_t>(Fields.number("slots", MaxSlots, 1)),
+      .Draining = Fields.flag("draining")};
+  const StoreRevision Revision(Fields.number("revision"));
+  const auto Address =
+      parseUdpEndpoint(Fields.text("address", MaxNameBytes), Step);
+  if (Fields.failed())
+    return Unexpected(Fields.error());
+  if (!Address)
+    return Unexpected(Address.error());
+  Record.Address = *Address;
+  const std::string Name = Record.Name;
+  return ServerChange{
+      .Name = Name, .Revision = Revision, .Record = std::move(Record)};
+}
+
+Expected<Route> decodeRoute(const Json &Value, const std::string &Source) {
+  FieldReader Fields(Value, Step, Source);
+  Route Entry{.Address = {.Ip = static_cast<std::uint32_t>(
+                              Fields.number("ip", UINT32_MAX)),
+                          .Port = static_cast<std::uint16_t>(
+                              Fields.number("port", UINT16_MAX))}};
+  const Json *Services = Fields.array("services", MaxRoutes);
+  if (Fields.failed())
+    return Unexpected(Fields.error());
+  for (const Json &Item : *Services) {
+    FieldReader Inner(Item, Step, Source);
+    Entry.Services.push_back(
+        {.Service = ServiceName(Inner.text("service", MaxNameBytes, 1)),
+         .Weight =
+             static_cast<std::uint32_t>(Inner.number("weight", MaxWeight, 1))});
+    if (Inner.failed())
+      return Unexpected(Inner.error());
+  }
+  if (Entry.Services.empty())
+    Fields.fail("services", "at least one service");
+  if (Fields.failed())
+    return Unexpected(Fields.error());
+  return Entry;
+}
+
+} // namespace
+
+Bytes encodeSnapshot(ServerDirectory &Servers, const RouteTable &Routes,
+                     StoreRevision AsOf) {
+  Json ServerList = Json::array();
+  Servers.forEach([&](const Server &Known) {
+    if (Known.Registered)
+      ServerList.push_back(encodeServer(Known));
+  });
+  Json RouteList = Json::array();
+  Routes.forEach(
+      [&](const Route &Entry) { RouteList.push_back(encodeRoute(Entry)); });
+  const Json Snapshot{{"as_of", AsOf.value()},
+                      {"config_version", Routes.version().value()},
+                      {"idle_timeout_ms", Routes.idleTimeout().count()},
+                      {"servers", std::move(ServerList)},
+                      {"routes", std::move(RouteList)}};
+  return encodeCbor(Snapshot);
+}
+
+Expected<RegistryChanges> decodeSnapshot(ByteView Data,
+                                         const std::string &Source) {
+  const auto Document = decodeCbor(Data, Step, Source);
+  if (!Document)
+    return Unexpected(Document.error());
+  if (!Document->is_object())
+    return Unexpected(Error{.Code = ErrorCode::Invalid,
+                            .Step = Step,
+                            .Peer = Source,
+                            .Message = "not an object"});
+  FieldReader Fields(*Document, Step, Source);
+  RegistryChanges Changes{.AsOf = StoreRevision(Fields.number("as_of"))};
+  RouteSet Routes{.Version = ConfigVersion(Fields.number("config_version")),
+                  .IdleTimeout = Milliseconds(
+                      Fields.number("idle_timeout_ms", MaxMilliseconds))};
+  const Json *ServerList = Fields.array("servers", MaxServers);
+  const Json *RouteList = Fields.array("routes", MaxRoutes);
+  if (Fields.failed())
+    return Unexpected(Fields.error());
+  for (const Json &Value : *ServerList) {
+    auto Change = decodeServer(Value, Source);
+    if (!Change)
+      return Unexpected(Change.error());
+    Changes.Servers.push_back(std::move(*Change));
+  }
+  for (const Json &Value : *RouteList) {
+    auto Entry = decodeRoute(Value, Source);
+    if (!Entry)
+      return Unexpected(Entry.error());
+    Routes.Routes.push_back(std::move(*Entry));
+  }
+  Changes.Routes = std::move(Routes);
+  return Changes;
+}
+
+} // namespace buckthorndeck::forwarding
--- /dev/null
+++ b/packages/forwarding/src/buckthorndeck/forwarding/Snapshot.h
@@ -0,0 +1,20 @@
+#ifndef BUCKTHORNDECK_FORWARDING_SNAPSHOT_H
+#define BUCKTHORNDECK_FORWARDING_SNAPSHOT_H
+
+#include "buckthorndeck/base/Bytes.h"
+#include "buckthorndeck/forwarding/Registry.h"
+
+namespace buckthorndeck::forwarding {
+
+//! Encodes the registered servers and the routes in force as of AsOf in CBOR,
+//! for a host that cannot read the store.
+Bytes encodeSnapshot(ServerDirectory &Servers, const RouteTable &Routes,
+                     StoreRevision AsOf);
+
+//! Fails with Invalid; Source names the host that sent it.
+Expected<RegistryChanges> decodeSnapshot(ByteView Data,
+                                         const std::string &Source);
+
+} // namespace buckthorndeck::forwarding
+
+#endif // BUCKTHORNDECK_FORWARDING_SNAPSHOT_H
