Find peers by heartbeats and seeds instead of entries in the store

Cause: entries of peers cost three calls a start and woke every watch. Conclusion: what a restarted host needs to know fits into heartbeats inside its failure domain.

--- a/packages/entryhost/src/buckthorndeck/entryhost/PacketHost.cpp
+++ b/packages/entryhost/src/buckthorndeck/entryhost/PacketHost.cpp
@@ -40,8 +40,8 @@
 constexpr Milliseconds LateTimer{20};
 //! Due work is done in steps of this size, to share wake-ups.
 constexpr Milliseconds TimerStep{10};
-//! A host that starts while the store is away hears of a peer within this time
-//! times the number of hosts in its failure domain over those that send.
+//! A host that starts while the store is away hears of a peer within about this
+//! time.
 constexpr Milliseconds HeartbeatInterval{500};
 //! Routers ask twice a second and take a host out after two misses.
 constexpr Milliseconds RouterReaction{1250};
@@ -107,7 +107,8 @@
         Peers({.Name = Options.Name,
                .Domain = Options.FailureDomain,
                .Heartbeat = this->Heartbeats.localEndpoint(),
-               .Snapshot = this->MetricsServer.localEndpoint()}),
+               .Snapshot = this->MetricsServer.localEndpoint()},
+              Options.Seeds),
         Feed(Where,
              {.WatchWait = Options.WatchWait,
               .ChangePause = Options.ChangePause,
@@ -119,6 +120,9 @@
   Task<> runTimer();
   Task<> sendHeartbeats();
   Task<> receiveHeartbeats();
+  void sendHeartbeat(const FailureDomainName &Domain,
+                     const UdpEndpoint &Receiver, TimePoint Now);
+  void recordHeartbeat(const ReceivedDatagram &Datagram);
   Task<> checkServer(ServerToken Token, TcpEndpoint Address);
   Task<std::optional<HttpResponse>> answerReady(HttpRequest Request);
   Task<std::optional<HttpResponse>> answerMetrics(HttpRequest Request);
@@ -263,35 +267,50 @@
 
 //! Lets hosts that have just started know whom they can ask.
 Task<> PacketHost::Parts::sendHeartbeats() {
-  const Bytes Message = encodeCbor(forwarding::encodePeer(Peers.self()));
   while (!Stopping) {
+    const TimePoint Now = Clock::now();
+    for (const UdpEndpoint &Receiver : Peers.receivers(Now, Random))
+      sendHeartbeat(Peers.self().Domain, Receiver, Now);
+    Peers.forget(Now);
     co_await sleepFor(HeartbeatInterval);
-    const std::optional<Peer> Receiver = Peers.random(Random);
-    // A lost heartbeat is made good by the next.
-    if (Receiver && Feed.loaded() && !Stopping)
-      Heartbeats.send(Message, Receiver->Heartbeat);
   }
 }
 
+void PacketHost::Parts::sendHeartbeat(const FailureDomainName &Domain,
+                                      const UdpEndpoint &Receiver,
+                                      TimePoint Now) {
+  // A lost heartbeat is made good by the next.
+  Heartbeats.send(encodeHeartbeat(Peers.heartbeatFor(Domain, Now, Random)),
+                  Receiver);
+}
+
+void PacketHost::Parts::recordHeartbeat(const ReceivedDatagram &Datagram) {
+  const auto Message =
+      forwarding::decodeHeartbeat(Datagram.Payload, toString(Datagram.Sender));
+  if (!Message) {
+    ++State.Undecodable;
+    log(LogLevel::Debug, "heartbeat_undecodable",
+        {{"error", describe(Message.error())}});
+    return;
+  }
+  const TimePoint Now = Clock::now();
+  const Peer &Sender = Message->Sender;
+  if (Peers.update(*Message, Now)) {
+    log(LogLevel::Info, "peer_found",
+        {{"peer", Sender.Name.value()},
+         {"failure_domain", Sender.Domain.value()},
+         {"peers", Peers.size()}});
+    sendHeartbeat(Sender.Domain, Sender.Heartbeat, Now);
+  }
+  Feed.peerHeard();
+}
+
 Task<> PacketHost::Parts::receiveHeartbeats() {
   while (true) {
     const Expected<ReceivedDatagram> Received = co_await Heartbeats.receive();
     if (!Received)
       co_return;
-    const std::string Sender = toString(Received->Sender);
-    const auto Message =
-        decodeCbor(Received->Payload, "receive heartbeat", Sender);
-    if (!Message) {
-      ++State.Undecodable;
-      continue;
-    }
-    const auto Known = forwarding::decodePeer(*Message, Sender);
-    if (!Known) {
-      ++State.Undecodable;
-      continue;
-    }
-    Peers.update(*Known);
-    Feed.peerHeard();
+    recordHeartbeat(*Received);
   }
 }
 
@@ -353,7 +372,6 @@
         }));
   spawn(Host.Where, "packets", Host.receivePackets());
   spawn(Host.Where, "timer", Host.runTimer());
-  spawn(Host.Where, "registration", Host.Feed.keepRegistered());
   spawn(Host.Where, "heartbeat_sender", Host.sendHeartbeats());
   spawn(Host.Where, "heartbeat_receiver", Host.receiveHeartbeats());
   co_await Host.Stopped.wait();
--- a/packages/entryhost/src/buckthorndeck/entryhost/PacketSettings.cpp
+++ b/packages/entryhost/src/buckthorndeck/entryhost/PacketSettings.cpp
@@ -40,7 +40,10 @@
       "description": "address of this host for its peers"},
     "internal_ports": {"type": "array", "minItems": 1,
       "items": {"type": "integer", "minimum": 0, "maximum": 65535},
-      "description": "ports for traffic between entry hosts; the first takes heartbeats over UDP"},
+      "description": "ports for traffic between entry hosts, the same on all; the first takes heartbeats over UDP"},
+    "seeds": {"type": "array", "maxItems": 64, "items": {"type": "string",
+      "pattern": "^[0-9.]{7,15}:[0-9]{1,5}$"},
+      "description": "addresses of other entry hosts to find peers through; the port is not used"},
     "store": {"type": "string", "pattern": "^[0-9.]{7,15}:[0-9]{1,5}$",
       "description": "TCP address of the platform's store"},
     "stop_grace_ms": {"type": "integer", "minimum": 0, "maximum": 600000,
@@ -79,6 +82,10 @@
   Result.ReadyPath = Reader.text("ready_path");
   Result.MetricsListen = Reader.tcp("metrics_listen");
   Result.HeartbeatListen = Reader.udp("host_ip", "internal_ports");
+  for (UdpEndpoint Seed : Reader.udpList("seeds")) {
+    Seed.port(Result.HeartbeatListen.port());
+    Result.Seeds.push_back(Seed);
+  }
   Result.Store = Reader.tcp("store");
   Result.StopGrace = Milliseconds(Reader.value<unsigned>("stop_grace_ms"));
   Result.FlowLifetime =
--- a/packages/entryhost/src/buckthorndeck/entryhost/PacketSettings.h
+++ b/packages/entryhost/src/buckthorndeck/entryhost/PacketSettings.h
@@ -22,6 +22,7 @@
   std::string ReadyPath;
   TcpEndpoint MetricsListen;
   UdpEndpoint HeartbeatListen;
+  std::vector<UdpEndpoint> Seeds; //!< Heartbeat addresses of other hosts.
   TcpEndpoint Store;
   Milliseconds StopGrace{};
   std::chrono::seconds FlowLifetime{};
--- a/packages/forwarding/src/buckthorndeck/forwarding/Peers.h
+++ b/packages/forwarding/src/buckthorndeck/forwarding/Peers.h
@@ -11,6 +11,7 @@
 #include <boost/unordered/unordered_flat_map.hpp>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace buckthorndeck::forwarding {
 
@@ -22,33 +23,58 @@
   TcpEndpoint Snapshot;  //!< Serves its servers and routes.
 };
 
-//! A peer as JSON: its entry in the store and its heartbeat.
-Json encodePeer(const Peer &Value);
-//! Fails with Invalid; Source is where the entry was found.
-Expected<Peer> decodePeer(const Json &Value, const std::string &Source);
+//! Who sends it, and whom the sender has heard lately.
+struct PeerHeartbeat {
+  Peer Sender;
+  std::vector<Peer> Others;
+};
+
+//! In CBOR, for a UDP datagram.
+Bytes encodeHeartbeat(const PeerHeartbeat &Message);
+//! Fails with Invalid; Source is the address that it came from.
+Expected<PeerHeartbeat> decodeHeartbeat(ByteView Data,
+                                        const std::string &Source);
 
 /**
- * The entry hosts of the own failure domain.
+ * The entry hosts that this host has heard of.
  *
- * They come from the store, and from the heartbeats that a host receives before
- * it could read the store.
+ * Hosts of a failure domain exchange heartbeats, so that one that restarts
+ * during an outage of the store hears of somebody whom it can ask for servers
+ * and routes. Nothing else depends on the list.
  */
 class PeerDirectory {
 public:
-  //! Self and hosts of other domains are ignored.
-  explicit PeerDirectory(const Peer &Self) : Self(Self) {}
+  //! Seeds are heartbeat addresses, used until a peer was heard.
+  PeerDirectory(Peer Self, std::vector<UdpEndpoint> Seeds);
 
-  void update(const Peer &Known);
-  void remove(const EntryHostName &Name);
-  //! Any peer; none if no peer is known.
-  std::optional<Peer> random(RandomEngine &Engine) const;
+  //! Takes over a heartbeat. True if its sender was not known.
+  bool update(const PeerHeartbeat &Message, TimePoint Now);
+  //! Heartbeat for a host of Domain.
+  PeerHeartbeat heartbeatFor(const FailureDomainName &Domain, TimePoint Now,
+                             RandomEngine &Random) const;
+  //! Where to send this period's heartbeats.
+  std::vector<UdpEndpoint> receivers(TimePoint Now, RandomEngine &Random) const;
+  //! Any known host of the own failure domain.
+  std::optional<Peer> randomPeer(RandomEngine &Random) const;
+  //! Forgets peers that were not heard of for long.
+  void forget(TimePoint Now);
 
   const Peer &self() const { return Self; }
   std::size_t size() const { return Peers.size(); }
 
 private:
+  struct Entry {
+    Peer Value;
+    TimePoint HeardAt; //!< By a heartbeat of its own; epoch if never.
+    TimePoint NamedAt; //!< By any heartbeat.
+  };
+
+  void add(const Peer &Known, bool Direct, TimePoint Now);
+  std::vector<const Entry *> peersOf(const FailureDomainName &Domain) const;
+
   Peer Self;
-  boost::unordered_flat_map<std::string, Peer> Peers;
+  std::vector<UdpEndpoint> Seeds;
+  boost::unordered_flat_map<std::string, Entry> Peers;
 };
 
 } // namespace buckthorndeck::forwarding
--- a/packages/forwarding/src/buckthorndeck/forwarding/Registry.h
+++ b/packages/forwarding/src/buckthorndeck/forwarding/Registry.h
@@ -2,7 +2,6 @@
 #define BUCKTHORNDECK_FORWARDING_REGISTRY_H
 
 #include "buckthorndeck/base/Error.h"
-#include "buckthorndeck/forwarding/Peers.h"
 #include "buckthorndeck/forwarding/RouteTable.h"
 #include "buckthorndeck/forwarding/ServerDirectory.h"
 
@@ -21,27 +20,14 @@
   std::optional<ServerRecord> Record;
 };
 
-//! The store's entry of an entry host.
-struct PeerChange {
-  EntryHostName Name;
-  std::optional<Peer> Entry; //!< No value: it is gone or unreadable.
-};
-
 //! What the platform's store says of servers and configuration.
 struct RegistryChanges {
   std::vector<ServerChange> Servers;
-  std::vector<PeerChange> Peers;
   std::optional<RouteSet> Routes;
   StoreRevision AsOf;     //!< Of the whole store; later changes are missing.
   std::size_t Events = 0; //!< Including those of no interest.
 };
 
-//! A lease of the store. Entries under it vanish when it ends.
-struct StoreLease {
-  std::uint64_t Id = 0;
-  Milliseconds Lifetime{}; //!< From the arrival of the call at the store.
-};
-
 //! One page of all registry entries.
 struct RegistryPage {
   RegistryChanges Changes;
@@ -61,11 +47,6 @@
   std::function<Task<Expected<RegistryChanges>>(StoreRevision After,
                                                 Milliseconds Wait)>
       watch;
-  std::function<Task<Expected<RegistryChanges>>()> readPeers;
-  //! Makes the own entry known to peers for as long as the lease lasts.
-  std::function<Task<Expected<StoreLease>>(Peer Self)> registerPeer;
-  //! NotFound means that the lease has ended.
-  std::function<Task<Expected<StoreLease>>(StoreLease Held)> renewLease;
 };
 
 } // namespace buckthorndeck::forwarding
--- a/packages/forwarding/src/buckthorndeck/forwarding/RegistryFeed.cpp
+++ b/packages/forwarding/src/buckthorndeck/forwarding/RegistryFeed.cpp
@@ -14,12 +14,6 @@
 constexpr Milliseconds RefreshInterval{1000};
 //! A peer of the own failure domain answers within milliseconds.
 constexpr Milliseconds PeerTimeout{500};
-//! A lease is renewed this often within its lifetime.
-constexpr int LeaseRenewalDivisor = 3;
-//! Other hosts need the entry only when they start, so that retries are slow.
-constexpr config::BackoffOptions RegisterBackoff{.First = Milliseconds(1000),
-                                                 .Max = Milliseconds(30000)};
-
 void logLost(const Error &Failure, unsigned Failures, TimePoint AnsweredAt) {
   const auto Age =
       std::chrono::duration_cast<Milliseconds>(Clock::now() - AnsweredAt);
@@ -53,24 +47,18 @@
       {{"peer", Asked.Name.value()}, {"error", describe(Failure)}});
 }
 
-void logNotRegistered(const Error &Failure) {
-  log(LogLevel::Warn, "registration_failed", {{"error", describe(Failure)}});
-}
-
 } // namespace
 
 RegistryFeed::RegistryFeed(Executor Where, const RegistryFeedOptions &Options,
                            RegistrySource Source, Forwarder &Target,
                            PeerDirectory &Peers)
     : Options(Options), Source(std::move(Source)), Target(Target), Peers(Peers),
-      Wake(std::make_shared<Notifier>(Where)),
-      RegisterWake(std::make_shared<Notifier>(Where)),
+      Wake(std::make_shared<Notifier>(std::move(Where))),
       Random(Options.RandomSeed) {}
 
 void RegistryFeed::stop() {
   Stopped = true;
   Wake->notifyAll();
-  RegisterWake->notifyAll();
 }
 
 void RegistryFeed::peerHeard() {
@@ -120,14 +108,6 @@
     else
       Target.removeServer(Change.Name, Change.Revision, Now);
   }
-  for (const PeerChange &Change : Changes.Peers) {
-    if (Change.Entry)
-      Peers.update(*Change.Entry);
-    else if (Change.Name == Peers.self().Name)
-      RegisterWake->notifyAll();
-    else
-      Peers.remove(Change.Name);
-  }
 }
 
 Task<bool> RegistryFeed::readRoutes() {
@@ -178,17 +158,6 @@
   co_return true;
 }
 
-Task<bool> RegistryFeed::readPeers() {
-  Expected<RegistryChanges> Changes = co_await Source.readPeers();
-  if (!Changes) {
-    recordAnswer(Changes.error());
-    co_return false;
-  }
-  recordAnswer(std::nullopt);
-  apply(*Changes);
-  co_return true;
-}
-
 Task<bool> RegistryFeed::load() {
   const bool HasServers = co_await readServers();
   if (!HasServers)
@@ -199,14 +168,12 @@
   if (!Loaded)
     logLoaded("store", Position, Target);
   Loaded = true;
-  // Peers are needed only by hosts that start while the store is away.
-  co_await readPeers();
   co_return true;
 }
 
 //! Takes servers and routes over from a host of the own failure domain.
 Task<bool> RegistryFeed::loadFromPeer() {
-  const std::optional<Peer> Chosen = Peers.random(Random);
+  const std::optional<Peer> Chosen = Peers.randomPeer(Random);
   if (!Chosen)
     co_return false;
   HttpRequest Request;
@@ -232,36 +199,6 @@
   co_return true;
 }
 
-//! Renews the lease, or gets one if there is none.
-Task<Expected<StoreLease>> RegistryFeed::holdLease(StoreLease Held) {
-  if (Held.Id == 0)
-    return Source.registerPeer(Peers.self());
-  return Source.renewLease(Held);
-}
-
-Task<> RegistryFeed::keepRegistered() {
-  StoreLease Lease;
-  unsigned Attempt = 0;
-  while (!Stopped) {
-    Expected<StoreLease> Held = co_await holdLease(Lease);
-    ++Calls;
-    Milliseconds Delay{};
-    if (Held) {
-      Lease = *Held;
-      Attempt = 0;
-      Delay = Lease.Lifetime / LeaseRenewalDivisor;
-    } else {
-      logNotRegistered(Held.error());
-      if (Held.error().Code == ErrorCode::NotFound)
-        Lease = StoreLease();
-      Delay = config::backoffDelay(RegisterBackoff, Attempt++, Random);
-    }
-    const bool Removed = co_await RegisterWake->waitUntil(Clock::now() + Delay);
-    if (Removed)
-      Lease = StoreLease();
-  }
-}
-
 //! Watches until the history is lost.
 Task<> RegistryFeed::follow() {
   while (!Stopped) {
--- a/packages/forwarding/src/buckthorndeck/forwarding/RegistryFeed.h
+++ b/packages/forwarding/src/buckthorndeck/forwarding/RegistryFeed.h
@@ -34,8 +34,6 @@
 
   //! Runs until stop().
   Task<> run();
-  //! Keeps the own entry in the store until stop().
-  Task<> keepRegistered();
   //! A peer was heard. A host without a configuration asks it for a snapshot.
   void peerHeard();
   //! Everything that a host needs which cannot read the store.
@@ -53,8 +51,6 @@
 private:
   Task<bool> load();
   Task<bool> loadFromPeer();
-  Task<bool> readPeers();
-  Task<Expected<StoreLease>> holdLease(StoreLease Held);
   Task<bool> readRoutes();
   Task<bool> readServers();
   Task<> follow();
@@ -67,7 +63,6 @@
   Forwarder &Target;
   PeerDirectory &Peers;
   std::shared_ptr<Notifier> Wake;
-  std::shared_ptr<Notifier> RegisterWake; //!< The own entry is gone.
   RandomEngine Random;
   StoreRevision Position; //!< Changes up to here are applied.
   TimePoint AnsweredAt;
