--- a/packages/entryhost/src/buckthorndeck/entryhost/PacketHost.cpp
+++ b/packages/entryhost/src/buckthorndeck/entryhost/PacketHost.cpp
@@ -91,12 +91,13 @@
 
 struct PacketHost::Parts {
   Parts(const Executor &Where, const PacketSettings &Options,
-        const PacketFormat &Format, forwarding::RegistrySource Source,
+        const PacketFormat &Format, forwarding::RegistrySource Calls,
         UdpSocket Packets, UdpSocket Heartbeats, HttpServer Ready,
         HttpServer MetricsServer)
       : Where(Where), Options(Options), Format(Format),
-        Packets(std::move(Packets)), Heartbeats(std::move(Heartbeats)),
-        Ready(std::move(Ready)), MetricsServer(std::move(MetricsServer)),
+        Source(std::move(Calls)), Packets(std::move(Packets)),
+        Heartbeats(std::move(Heartbeats)), Ready(std::move(Ready)),
+        MetricsServer(std::move(MetricsServer)),
         Batch({.Capacity = BatchCapacity,
                .HeadroomBytes = Format.ServerPrefixBytes,
                .DatagramBytes = PacketBufferBytes}),
@@ -113,7 +114,7 @@
              {.WatchWait = Options.WatchWait,
               .ChangePause = Options.ChangePause,
               .RandomSeed = Options.RandomSeed + 1},
-             std::move(Source), Decisions, Peers),
+             this->Source, Decisions, Peers),
         Random(Options.RandomSeed + 2), Timer(Where), Stopped(Where) {}
 
   Task<> receivePackets();
@@ -124,6 +125,8 @@
                      const UdpEndpoint &Receiver, TimePoint Now);
   void recordHeartbeat(const ReceivedDatagram &Datagram);
   Task<> checkServer(ServerToken Token, TcpEndpoint Address);
+  Task<CheckOutcome> checkIdentity(TcpEndpoint Address, std::string Path,
+                                   std::string Name);
   Task<std::optional<HttpResponse>> answerReady(HttpRequest Request);
   Task<std::optional<HttpResponse>> answerMetrics(HttpRequest Request);
   void handle(std::size_t Index, TimePoint Now);
@@ -135,6 +138,7 @@
   Executor Where;
   PacketSettings Options;
   PacketFormat Format;
+  forwarding::RegistrySource Source;
   UdpSocket Packets;
   UdpSocket Heartbeats;
   HttpServer Ready;
@@ -314,12 +318,33 @@
   }
 }
 
+//! Tells a server from another that has got its address.
+Task<CheckOutcome> PacketHost::Parts::checkIdentity(TcpEndpoint Address,
+                                                    std::string Path,
+                                                    std::string Name) {
+  const Expected<std::string> Answering =
+      co_await Source.readServerName(Address, Path);
+  if (!Answering) {
+    log(LogLevel::Info, "identity_unknown",
+        {{"server", Name}, {"error", describe(Answering.error())}});
+    co_return CheckOutcome::Inconclusive;
+  }
+  co_return *Answering == Name ? CheckOutcome::Connected
+                               : CheckOutcome::Replaced;
+}
+
 Task<> PacketHost::Parts::checkServer(ServerToken Token, TcpEndpoint Address) {
   const TimePoint Started = Clock::now();
   std::optional<TcpEndpoint> Control;
   if (const Server *Other = Decisions.controlFor(Token))
     Control = healthAddress(*Other);
-  const CheckOutcome Outcome = co_await probeServer(Address, Control);
+  CheckOutcome Outcome = co_await probeServer(Address, Control);
+  const std::optional<std::string> Path = Decisions.identityPath(Token);
+  const Server *Target = Decisions.servers().find(Token);
+  if (Outcome == CheckOutcome::Connected && Path && Target) {
+    const std::string Name = Target->Record.Name;
+    Outcome = co_await checkIdentity(Address, *Path, Name);
+  }
   const TimePoint Now = Clock::now();
   Decisions.recordCheck(Token, Outcome, Started, Now);
   doWork(Now);
--- a/packages/forwarding/src/buckthorndeck/forwarding/Forwarder.cpp
+++ b/packages/forwarding/src/buckthorndeck/forwarding/Forwarder.cpp
@@ -43,6 +43,13 @@
 //! Weight of a new sample in the moving average of response times.
 constexpr double ResponseSampleWeight = 0.1;
 
+//! Points at which a server that fails its health check like this is silent.
+unsigned neededPoints(CheckOutcome Outcome) {
+  if (Outcome == CheckOutcome::Replaced)
+    return 0;
+  return Outcome == CheckOutcome::TimedOut ? TimedOutPoints : RefusedPoints;
+}
+
 std::string tokenText(ServerToken Token) {
   return std::to_string(Token.value());
 }
@@ -123,7 +130,8 @@
 }
 
 Refusal Forwarder::deadReason(const Server &Target) const {
-  if (!Target.Registered && Servers.isReplaced(Target))
+  if (Target.LastCheck == CheckOutcome::Replaced ||
+      (!Target.Registered && Servers.isReplaced(Target)))
     return Refusal::ServerReplaced;
   if (Target.State == Reachability::Silent)
     return Refusal::ServerSilent;
@@ -336,8 +344,9 @@
   if (!Target)
     return;
   Target->Checking = false;
-  const bool Failed =
-      Outcome == CheckOutcome::Refused || Outcome == CheckOutcome::TimedOut;
+  const bool Failed = Outcome == CheckOutcome::Refused ||
+                      Outcome == CheckOutcome::TimedOut ||
+                      Outcome == CheckOutcome::Replaced;
   if (Failed && Target->ProgressAt < Started) {
     markUnhealthy(*Target, Outcome, Now);
     return;
@@ -354,9 +363,21 @@
          {"cause", "health_check"},
          {"health_check", toString(Outcome)}});
   Target->State = Reachability::Reachable;
+  Target->LastCheck = Outcome;
   Target->Evidence = 0;
 }
 
+std::optional<std::string> Forwarder::identityPath(ServerToken Token) {
+  const Server *Target = Servers.find(Token);
+  if (!Target || (Target->State == Reachability::Doubted &&
+                  Target->Evidence < UnansweredOpenPoints))
+    return std::nullopt;
+  for (const HealthRule &Rule : Routes.healthRules())
+    if (Rule.Service == Target->Record.Service)
+      return Rule.Path;
+  return std::nullopt;
+}
+
 void Forwarder::markUnhealthy(Server &Target, CheckOutcome Outcome,
                               TimePoint Now) {
   Target.NextCheckAt = Now + FailedCheckPause;
@@ -379,10 +400,8 @@
 
 void Forwarder::addEvidence(Server &Target, unsigned Points, TimePoint Now) {
   Target.Evidence += Points;
-  const unsigned Needed = Target.LastCheck == CheckOutcome::TimedOut
-                              ? TimedOutPoints
-                              : RefusedPoints;
-  if (Target.State == Reachability::Unhealthy && Target.Evidence >= Needed)
+  if (Target.State == Reachability::Unhealthy &&
+      Target.Evidence >= neededPoints(Target.LastCheck))
     silence(Target, Now);
 }
 
@@ -569,7 +588,8 @@
     Server *Target = Servers.find(Token);
     if (!Target || Target->State == Reachability::Reachable)
       return true;
-    if (Target->Checking || Now < Target->NextCheckAt)
+    if (Target->Checking || Now < Target->NextCheckAt ||
+        Target->LastCheck == CheckOutcome::Replaced)
       return false;
     // Without an entry nobody is sent there any more.
     if (!Target->Registered)
--- a/packages/forwarding/src/buckthorndeck/forwarding/Forwarder.h
+++ b/packages/forwarding/src/buckthorndeck/forwarding/Forwarder.h
@@ -109,6 +109,10 @@
                      TimePoint Now);
   void recordCheck(ServerToken Token, CheckOutcome Outcome, TimePoint Started,
                    TimePoint Now);
+  //! Path of the request that tells which server answers at the address of
+  //! Token's; none if a connection is proof enough. An address may have been
+  //! given to another server once packets went unanswered.
+  std::optional<std::string> identityPath(ServerToken Token);
   //! A server whose answer shows that this host can reach servers at all; null
   //! if there is none besides Checked. Prefers the own failure domain.
   const Server *controlFor(ServerToken Checked);
--- a/packages/forwarding/src/buckthorndeck/forwarding/Registry.h
+++ b/packages/forwarding/src/buckthorndeck/forwarding/Registry.h
@@ -47,6 +47,10 @@
   std::function<Task<Expected<RegistryChanges>>(StoreRevision After,
                                                 Milliseconds Wait)>
       watch;
+  //! The name of the server that answers a health check at an address.
+  std::function<Task<Expected<std::string>>(TcpEndpoint Address,
+                                            std::string Path)>
+      readServerName;
 };
 
 } // namespace buckthorndeck::forwarding
--- a/packages/forwarding/src/buckthorndeck/forwarding/RouteTable.cpp
+++ b/packages/forwarding/src/buckthorndeck/forwarding/RouteTable.cpp
@@ -7,6 +7,7 @@
     return false;
   Version = Next.Version;
   IdleTimeout = Next.IdleTimeout;
+  HealthRules = std::move(Next.HealthRules);
   for (auto &[Address, Known] : Routes)
     Known.Removed = true;
   for (Route &Added : Next.Routes) {
--- a/packages/forwarding/src/buckthorndeck/forwarding/RouteTable.h
+++ b/packages/forwarding/src/buckthorndeck/forwarding/RouteTable.h
@@ -25,10 +25,17 @@
   std::vector<WeightedService> Services; //!< At least one; weights above 0.
 };
 
+//! How a service's servers are asked for their health.
+struct HealthRule {
+  ServiceName Service;
+  std::string Path; //!< Of an HTTP GET.
+};
+
 //! A complete, checked configuration of the packet path.
 struct RouteSet {
   ConfigVersion Version;
   std::vector<Route> Routes;
+  std::vector<HealthRule> HealthRules;
   Milliseconds IdleTimeout{15000}; //!< After it a flow may be forgotten.
 };
 
@@ -41,6 +48,7 @@
   bool apply(RouteSet Next);
 
   ConfigVersion version() const { return Version; }
+  const std::vector<HealthRule> &healthRules() const { return HealthRules; }
   Milliseconds idleTimeout() const { return IdleTimeout; }
   std::size_t size() const { return Routes.size(); }
 
@@ -66,6 +74,7 @@
 
   ConfigVersion Version;
   Milliseconds IdleTimeout{15000};
+  std::vector<HealthRule> HealthRules;
   boost::unordered_flat_map<SocketAddress, Entry, SocketAddressHash> Routes;
 };
 
--- a/packages/forwarding/src/buckthorndeck/forwarding/ServerDirectory.cpp
+++ b/packages/forwarding/src/buckthorndeck/forwarding/ServerDirectory.cpp
@@ -36,6 +36,8 @@
     return "refused";
   case CheckOutcome::TimedOut:
     return "timed_out";
+  case CheckOutcome::Replaced:
+    return "replaced";
   case CheckOutcome::Inconclusive:
     return "inconclusive";
   }
--- a/packages/forwarding/src/buckthorndeck/forwarding/ServerDirectory.h
+++ b/packages/forwarding/src/buckthorndeck/forwarding/ServerDirectory.h
@@ -48,6 +48,7 @@
   Connected,
   Refused,      //!< The server's host answers, the server does not.
   TimedOut,     //!< Nothing answered, while another server did.
+  Replaced,     //!< Another server answered at its address.
   Inconclusive, //!< Nothing answered, and another server did not either.
 };
 
--- a/packages/forwarding/src/buckthorndeck/forwarding/Snapshot.cpp
+++ b/packages/forwarding/src/buckthorndeck/forwarding/Snapshot.cpp
@@ -101,11 +101,15 @@
   Json RouteList = Json::array();
   Routes.forEach(
       [&](const Route &Entry) { RouteList.push_back(encodeRoute(Entry)); });
+  Json Rules = Json::array();
+  for (const HealthRule &Rule : Routes.healthRules())
+    Rules.push_back({{"service", Rule.Service.value()}, {"path", Rule.Path}});
   const Json Snapshot{{"as_of", AsOf.value()},
                       {"config_version", Routes.version().value()},
                       {"idle_timeout_ms", Routes.idleTimeout().count()},
                       {"servers", std::move(ServerList)},
-                      {"routes", std::move(RouteList)}};
+                      {"routes", std::move(RouteList)},
+                      {"health_rules", std::move(Rules)}};
   return encodeCbor(Snapshot);
 }
 
@@ -126,6 +130,7 @@
                       Fields.number("idle_timeout_ms", MaxMilliseconds))};
   const Json *ServerList = Fields.array("servers", MaxServers);
   const Json *RouteList = Fields.array("routes", MaxRoutes);
+  const Json *Rules = Fields.array("health_rules", MaxRoutes);
   if (Fields.failed())
     return Unexpected(Fields.error());
   for (const Json &Value : *ServerList) {
@@ -140,6 +145,14 @@
       return Unexpected(Entry.error());
     Routes.Routes.push_back(std::move(*Entry));
   }
+  for (const Json &Value : *Rules) {
+    FieldReader Inner(Value, Step, Source);
+    Routes.HealthRules.push_back(
+        {.Service = ServiceName(Inner.text("service", MaxNameBytes, 1)),
+         .Path = Inner.text("path", MaxNameBytes, 1)});
+    if (Inner.failed())
+      return Unexpected(Inner.error());
+  }
   Changes.Routes = std::move(Routes);
   return Changes;
 }
--- a/packages/net/src/buckthorndeck/net/HttpClient.cpp
+++ b/packages/net/src/buckthorndeck/net/HttpClient.cpp
@@ -86,8 +86,12 @@
       Stream, Buffer, Parser, asio::as_tuple(asio::use_awaitable));
   if (ReadCode)
     co_return Failed(ErrorCode::Timeout, ReadCode.message());
-  co_return HttpResponse{.Status = Parser.get().result_int(),
-                         .Body = std::move(Parser.get().body())};
+  HttpResponse Response{.Status = Parser.get().result_int(),
+                        .Body = std::move(Parser.get().body())};
+  for (const auto &Field : Parser.get())
+    Response.Headers.push_back({.Name = std::string(Field.name_string()),
+                                .Value = std::string(Field.value())});
+  co_return Response;
 }
 
 } // namespace buckthorndeck
--- a/packages/net/src/buckthorndeck/net/HttpMessage.h
+++ b/packages/net/src/buckthorndeck/net/HttpMessage.h
@@ -2,6 +2,7 @@
 #define BUCKTHORNDECK_NET_HTTPMESSAGE_H
 
 #include <string>
+#include <vector>
 
 namespace buckthorndeck {
 
@@ -11,10 +12,16 @@
   std::string Body;         //!< JSON text or empty.
 };
 
+struct HttpHeader {
+  std::string Name; //!< As sent; names are compared without case.
+  std::string Value;
+};
+
 struct HttpResponse {
   unsigned Status = 200;
   std::string Body; //!< Of the content type below, or empty.
   std::string ContentType = "application/json";
+  std::vector<HttpHeader> Headers; //!< Of a received response.
 };
 
 } // namespace buckthorndeck
