--- a/packages/entryhost/src/buckthorndeck/entryhost/PacketHost.cpp
+++ b/packages/entryhost/src/buckthorndeck/entryhost/PacketHost.cpp
@@ -38,6 +38,8 @@
 //! A timeout that is noticed later than this was delayed by this host, which
 //! had no processor time, and says nothing about the server.
 constexpr Milliseconds LateTimer{20};
+//! Callers repeat packets after 200 ms and more.
+constexpr Milliseconds MaxPacketHold{300};
 //! Due work is done in steps of this size, to share wake-ups.
 constexpr Milliseconds TimerStep{10};
 //! A host that starts while the store is away hears of a peer within about this
@@ -118,6 +120,7 @@
         Random(Options.RandomSeed + 2), Timer(Where), Stopped(Where) {}
 
   Task<> receivePackets();
+  Task<> holdPackets();
   Task<> runTimer();
   Task<> sendHeartbeats();
   Task<> receiveHeartbeats();
@@ -215,7 +218,21 @@
   Batch.queue(Packets, Datagram, Result.Target->Record.Address);
 }
 
+//! Lets packets wait in the socket until this host knows where they belong, or
+//! drops them if that took long: their senders have repeated them since.
+Task<> PacketHost::Parts::holdPackets() {
+  const TimePoint Started = Clock::now();
+  co_await Feed.waitLoaded();
+  if (Clock::now() - Started < MaxPacketHold)
+    co_return;
+  std::size_t Dropped = 0;
+  while (const std::size_t Count = Batch.receive(Packets))
+    Dropped += Count;
+  log(LogLevel::Info, "held_packets_dropped", {{"packets", Dropped}});
+}
+
 Task<> PacketHost::Parts::receivePackets() {
+  co_await holdPackets();
   while (!Stopping || Packets.isOpen()) {
     const bool Readable = co_await Packets.waitReadable();
     if (!Readable)
--- a/packages/forwarding/src/buckthorndeck/forwarding/RegistryFeed.cpp
+++ b/packages/forwarding/src/buckthorndeck/forwarding/RegistryFeed.cpp
@@ -53,12 +53,14 @@
                            RegistrySource Source, Forwarder &Target,
                            PeerDirectory &Peers)
     : Options(Options), Source(std::move(Source)), Target(Target), Peers(Peers),
-      Wake(std::make_shared<Notifier>(std::move(Where))),
+      Wake(std::make_shared<Notifier>(Where)),
+      LoadedOrStopped(std::make_shared<Notifier>(std::move(Where))),
       Random(Options.RandomSeed) {}
 
 void RegistryFeed::stop() {
   Stopped = true;
   Wake->notifyAll();
+  LoadedOrStopped->notifyAll();
 }
 
 void RegistryFeed::peerHeard() {
@@ -78,6 +80,17 @@
   Wake->notifyAll();
 }
 
+void RegistryFeed::markLoaded(const std::string &From) {
+  Loaded = true;
+  logLoaded(From, Position, Target);
+  LoadedOrStopped->notifyAll();
+}
+
+Task<> RegistryFeed::waitLoaded() {
+  while (!Loaded && !Stopped)
+    co_await LoadedOrStopped->wait();
+}
+
 Task<> RegistryFeed::pause(Milliseconds Delay) {
   if (Stopped)
     co_return;
@@ -166,8 +179,7 @@
   if (!HasRoutes)
     co_return false;
   if (!Loaded)
-    logLoaded("store", Position, Target);
-  Loaded = true;
+    markLoaded("store");
   co_return true;
 }
 
@@ -194,8 +206,7 @@
     co_return false;
   Position = Changes->AsOf;
   apply(*Changes);
-  Loaded = true;
-  logLoaded(Chosen->Name.value(), Position, Target);
+  markLoaded(Chosen->Name.value());
   co_return true;
 }
 
--- a/packages/forwarding/src/buckthorndeck/forwarding/RegistryFeed.h
+++ b/packages/forwarding/src/buckthorndeck/forwarding/RegistryFeed.h
@@ -42,6 +42,8 @@
   //! Ends the current pause, at most once in a second.
   void refresh();
 
+  //! Returns once loaded() is true or stop() was called.
+  Task<> waitLoaded();
   //! Whether everything was read once, from the store or from a peer.
   bool loaded() const { return Loaded; }
   //! When the store last answered; epoch if never.
@@ -55,6 +57,7 @@
   Task<bool> readServers();
   Task<> follow();
   void apply(RegistryChanges &Changes);
+  void markLoaded(const std::string &From);
   void recordAnswer(std::optional<Error> Failure);
   Task<> pause(Milliseconds Delay);
 
@@ -63,6 +66,7 @@
   Forwarder &Target;
   PeerDirectory &Peers;
   std::shared_ptr<Notifier> Wake;
+  std::shared_ptr<Notifier> LoadedOrStopped;
   RandomEngine Random;
   StoreRevision Position; //!< Changes up to here are applied.
   TimePoint AnsweredAt;
