Test the forwarding package; count progress only after the request

Found by the tests: a response in the packet that opens a flow counted as an answer to the request in the same packet, so that a server that answered opens but no requests was never doubted; unhealthy servers were not tried before silent ones.

--- a/packages/forwarding/src/buckthorndeck/forwarding/Forwarder.cpp
+++ b/packages/forwarding/src/buckthorndeck/forwarding/Forwarder.cpp
@@ -267,7 +267,7 @@
   if (Update.Retransmission) {
     ++Counters.Retransmissions;
     // A server that has answered others lately lost a packet at most.
-    if (Target.ProgressAt < Known.WaitingSince) {
+    if (Target.ProgressAt <= Known.WaitingSince) {
       doubt(Target, "retransmission", Now);
       addEvidence(Target, RetransmissionPoints, Now);
     }
@@ -369,8 +369,9 @@
 
 std::optional<std::string> Forwarder::identityPath(ServerToken Token) {
   const Server *Target = Servers.find(Token);
-  if (!Target || (Target->State == Reachability::Doubted &&
-                  Target->Evidence < UnansweredOpenPoints))
+  if (!Target || Target->State == Reachability::Reachable ||
+      (Target->State == Reachability::Doubted &&
+       Target->Evidence < UnansweredOpenPoints))
     return std::nullopt;
   for (const HealthRule &Rule : Routes.healthRules())
     if (Rule.Service == Target->Record.Service)
@@ -542,7 +543,7 @@
     return;
   Opening &Known = Found->second;
   Server *Before = Servers.find(Known.Tried.back());
-  if (Before && Before->ProgressAt < Known.StartedAt) {
+  if (Before && Before->ProgressAt <= Known.StartedAt) {
     doubt(*Before, "open_unanswered", Now);
     addEvidence(*Before, UnansweredOpenPoints, Now);
   }
@@ -574,7 +575,7 @@
     if (Known == Flows.end() || Known->second.WaitingSince != Due.WaitingSince)
       continue;
     Server *Target = Servers.find(Known->second.Token);
-    if (Target && Target->ProgressAt < Due.WaitingSince)
+    if (Target && Target->ProgressAt <= Due.WaitingSince)
       doubt(*Target, "request_unanswered", Now);
   }
 }
--- a/packages/forwarding/src/buckthorndeck/forwarding/Placement.cpp
+++ b/packages/forwarding/src/buckthorndeck/forwarding/Placement.cpp
@@ -131,6 +131,8 @@
       return {.Chosen = Found, .Reason = PlacementReason::OwnDomain};
   if (Server *Found = Choose(isUsable))
     return {.Chosen = Found, .Reason = PlacementReason::AnyDomain};
+  if (Server *Found = Choose(isUnhealthy))
+    return {.Chosen = Found, .Reason = PlacementReason::Unhealthy};
   if (Server *Found =
           Choose([&](const Server &Known) { return isLatelyGone(Known, Now); }))
     return {.Chosen = Found, .Reason = PlacementReason::LatelyGone};
--- /dev/null
+++ b/packages/forwarding/tests/RegistryFeedTests.cpp
@@ -0,0 +1,219 @@
+#include "buckthorndeck/forwarding/RegistryFeed.h"
+
+#include "RunTask.h"
+#include "Samples.h"
+#include "buckthorndeck/net/HttpServer.h"
+
+#include <catch2/catch.hpp>
+#include <deque>
+
+using namespace buckthorndeck;
+using namespace buckthorndeck::forwarding;
+
+namespace {
+
+Error makeError(ErrorCode Code) {
+  return {.Code = Code, .Step = "test", .Message = "as scripted"};
+}
+
+//! A store whose answers a test scripts. A watch without an answer waits.
+class FakeStore {
+public:
+  explicit FakeStore(const Executor &Where) : Changed(Where) {}
+
+  RegistrySource source() {
+    RegistrySource Calls;
+    Calls.readServers = [this](std::string) { return servers(); };
+    Calls.readRoutes = [this] { return routes(); };
+    Calls.watch = [this](StoreRevision After, Milliseconds) {
+      return watch(After);
+    };
+    return Calls;
+  }
+
+  void answerWatch(Expected<RegistryChanges> Answer) {
+    WatchAnswers.push_back(std::move(Answer));
+    Changed.notifyAll();
+  }
+
+  //! Returns once Count watches were asked for.
+  Task<> waitWatches(std::size_t Count) {
+    while (Watches.size() < Count)
+      co_await Changed.wait();
+  }
+
+  bool Down = false;
+  std::optional<RouteSet> Routes = makeRoutes(1);
+  std::vector<ServerChange> Entries;
+  StoreRevision Revision{5};
+  unsigned Loads = 0;
+  std::vector<StoreRevision> Watches;
+
+private:
+  Task<Expected<RegistryPage>> servers() {
+    ++Loads;
+    Changed.notifyAll();
+    if (Down)
+      co_return Unexpected(makeError(ErrorCode::Unavailable));
+    RegistryPage Page;
+    Page.Changes.AsOf = Revision;
+    Page.Changes.Servers = Entries;
+    co_return Page;
+  }
+
+  Task<Expected<RegistryChanges>> routes() {
+    if (!Routes)
+      co_return Unexpected(makeError(ErrorCode::NotFound));
+    RegistryChanges Changes;
+    Changes.Routes = *Routes;
+    Changes.AsOf = Revision;
+    co_return Changes;
+  }
+
+  Task<Expected<RegistryChanges>> watch(StoreRevision After) {
+    Watches.push_back(After);
+    Changed.notifyAll();
+    while (WatchAnswers.empty())
+      co_await Changed.wait();
+    Expected<RegistryChanges> Answer = std::move(WatchAnswers.front());
+    WatchAnswers.pop_front();
+    co_return Answer;
+  }
+
+  std::deque<Expected<RegistryChanges>> WatchAnswers;
+  Notifier Changed;
+};
+
+ServerChange entryOf(unsigned Number, std::uint64_t Revision) {
+  return {.Name = makeServer(Number).Name,
+          .Revision = StoreRevision(Revision),
+          .Record = makeServer(Number)};
+}
+
+class FeedFixture {
+public:
+  FeedFixture() { Store.Entries.push_back(entryOf(0, 3)); }
+
+  void start() { spawn(Context.get_executor(), "feed", Feed.run()); }
+
+  boost::asio::io_context Context;
+  FakeStore Store{Context.get_executor()};
+  Forwarder Host{{.Domain = FailureDomainName("north")}};
+  PeerDirectory Peers{
+      {.Name = EntryHostName("self"), .Domain = FailureDomainName("north")},
+      {}};
+  RegistryFeed Feed{
+      Context.get_executor(),
+      {.ChangePause = Milliseconds(1),
+       .Backoff = {.First = Milliseconds(1), .Max = Milliseconds(1)}},
+      Store.source(),
+      Host,
+      Peers};
+};
+
+} // namespace
+
+TEST_CASE("A host reads everything and watches from the first page on",
+          "[feed]") {
+  FeedFixture Site;
+  Site.start();
+  runTask(Site.Context, Site.Store.waitWatches(1));
+  CHECK(Site.Feed.loaded());
+  CHECK(Site.Store.Watches[0] == StoreRevision(5));
+  CHECK(Site.Host.servers().find(tokenOf(makeServer(0))) != nullptr);
+  CHECK(Site.Host.routes().version() == ConfigVersion(1));
+}
+
+TEST_CASE("A host that starts before the first configuration waits for it by "
+          "its watch",
+          "[feed]") {
+  // Polling for it cost ten calls a host.
+  FeedFixture Site;
+  Site.Store.Routes.reset();
+  Site.start();
+  runTask(Site.Context, Site.Store.waitWatches(1));
+  RegistryChanges First;
+  First.Routes = makeRoutes(4);
+  First.AsOf = StoreRevision(6);
+  First.Events = 1;
+  Site.Store.answerWatch(First);
+  runTask(Site.Context, Site.Store.waitWatches(2));
+  CHECK(Site.Host.routes().version() == ConfigVersion(4));
+  CHECK(Site.Store.Loads == 1);
+  CHECK(Site.Store.Watches[1] == StoreRevision(6));
+}
+
+TEST_CASE("A lost history is made good by a complete read", "[feed]") {
+  FeedFixture Site;
+  Site.start();
+  runTask(Site.Context, Site.Store.waitWatches(1));
+  // The server left while nobody watched.
+  Site.Store.Entries.clear();
+  Site.Store.Revision = StoreRevision(90);
+  Site.Store.answerWatch(Unexpected(makeError(ErrorCode::Expired)));
+  runTask(Site.Context, Site.Store.waitWatches(2));
+  CHECK(Site.Store.Loads == 2);
+  CHECK(Site.Store.Watches[1] == StoreRevision(90));
+  CHECK_FALSE(Site.Host.servers().find(tokenOf(makeServer(0)))->Registered);
+}
+
+TEST_CASE("A failed watch is repeated from the same position", "[feed]") {
+  FeedFixture Site;
+  Site.start();
+  runTask(Site.Context, Site.Store.waitWatches(1));
+  Site.Store.answerWatch(Unexpected(makeError(ErrorCode::Timeout)));
+  runTask(Site.Context, Site.Store.waitWatches(2));
+  CHECK(Site.Store.Watches[1] == StoreRevision(5));
+  CHECK(Site.Store.Loads == 1);
+}
+
+TEST_CASE("A complete read that is older than what is known is not applied",
+          "[feed]") {
+  FeedFixture Site;
+  Site.start();
+  runTask(Site.Context, Site.Store.waitWatches(1));
+  // A replica of the store that is behind would take the server away.
+  Site.Store.Entries.clear();
+  Site.Store.Revision = StoreRevision(2);
+  Site.Store.answerWatch(Unexpected(makeError(ErrorCode::Expired)));
+  runTask(Site.Context, [](FeedFixture &Fixture) -> Task<> {
+    while (Fixture.Store.Loads < 3)
+      co_await sleepFor(Milliseconds(1));
+  }(Site));
+  CHECK(Site.Host.servers().find(tokenOf(makeServer(0)))->Registered);
+}
+
+TEST_CASE("A host that cannot read the store serves from a peer's snapshot",
+          "[feed]") {
+  // Two of three hosts of a failure domain restarted while it was cut off.
+  FeedFixture Donor;
+  Donor.Host.applyRoutes(makeRoutes(8));
+  Donor.Host.updateServer(makeServer(4), StoreRevision(40), Start);
+
+  FeedFixture Site;
+  Site.Store.Down = true;
+  auto Bound = HttpServer::bind(Site.Context.get_executor(), loopbackTcp());
+  REQUIRE(Bound);
+  const std::string Body(toText(Donor.Feed.snapshot()));
+  spawn(Site.Context.get_executor(), "donor",
+        Bound->serve([Body](HttpRequest) -> Task<std::optional<HttpResponse>> {
+          HttpResponse Answer;
+          Answer.Body = Body;
+          co_return Answer;
+        }));
+  Site.start();
+  runTask(Site.Context, [](FeedFixture &Fixture) -> Task<> {
+    while (Fixture.Store.Loads < 2)
+      co_await sleepFor(Milliseconds(1));
+  }(Site));
+  CHECK_FALSE(Site.Feed.loaded());
+  Site.Peers.update({.Sender = {.Name = EntryHostName("donor"),
+                                .Domain = FailureDomainName("north"),
+                                .Snapshot = Bound->localEndpoint()}},
+                    Clock::now());
+  Site.Feed.peerHeard();
+  runTask(Site.Context, Site.Feed.waitLoaded());
+  CHECK(Site.Host.routes().version() == ConfigVersion(8));
+  CHECK(Site.Host.servers().find(tokenOf(makeServer(4))) != nullptr);
+  runTask(Site.Context, Site.Store.waitWatches(1));
+}
--- /dev/null
+++ b/packages/forwarding/tests/Samples.h
@@ -0,0 +1,91 @@
+#ifndef BUCKTHORNDECK_FORWARDING_TESTS_SAMPLES_H
+#define BUCKTHORNDECK_FORWARDING_TESTS_SAMPLES_H
+
+#include "buckthorndeck/forwarding/Forwarder.h"
+
+#include <boost/asio/ip/address_v4.hpp>
+
+namespace buckthorndeck::forwarding {
+
+inline const ServiceName Floor("floor");
+inline const ServiceName Press("press");
+inline constexpr SocketAddress FloorAddress{.Ip = 0xc6120001, .Port = 443};
+inline constexpr SocketAddress PressAddress{.Ip = 0xc6120002, .Port = 443};
+inline const TimePoint Start{std::chrono::hours(1)};
+
+//! A server numbered Number of Floor in the failure domain "north".
+inline ServerRecord makeServer(unsigned Number,
+                               const std::string &Domain = "north") {
+  return {.Name = "i-" + std::to_string(1000 + Number),
+          .Id = ServerId(0x1000 + Number),
+          .Born = Incarnation(1'700'000'000'000 + Number),
+          .Service = Floor,
+          .Address = UdpEndpoint(
+              boost::asio::ip::address_v4(0x0a010000 + Number), 8000),
+          .Domain = FailureDomainName(Domain),
+          .Slots = 2};
+}
+
+inline RouteSet makeRoutes(std::uint64_t Version) {
+  return {
+      .Version = ConfigVersion(Version),
+      .Routes = {{.Address = FloorAddress, .Services = {{.Service = Floor}}},
+                 {.Address = PressAddress, .Services = {{.Service = Press}}}},
+      .HealthRules = {{.Service = Floor, .Path = "/health"}}};
+}
+
+//! The flow from port Port of one caller to the floor.
+inline FlowKey makeFlow(std::uint16_t Port) {
+  return {.Caller = {.Ip = 0x64400007, .Port = Port}, .Service = FloorAddress};
+}
+
+inline PacketHeader makeOpen(const FlowKey &Flow, std::uint32_t Copy = 0) {
+  return {.Flow = Flow, .Sequence = 1000, .Acknowledged = Copy, .Open = true};
+}
+
+//! A packet of an open flow whose caller has received Acknowledged.
+inline PacketHeader makeData(const FlowKey &Flow, ServerToken Token,
+                             std::uint32_t Sequence, std::uint32_t Acknowledged,
+                             std::uint16_t DataBytes = 100) {
+  return {.Flow = Flow,
+          .Token = Token,
+          .Sequence = Sequence,
+          .Acknowledged = Acknowledged,
+          .DataBytes = DataBytes,
+          .Acknowledges = true};
+}
+
+//! A forwarder of the domain "north" among three, with routes in force.
+class ForwarderFixture {
+public:
+  explicit ForwarderFixture(unsigned Servers = 3) {
+    Host.applyRoutes(makeRoutes(1));
+    for (unsigned Number = 0; Number < Servers; ++Number)
+      Host.updateServer(makeServer(Number), StoreRevision(10 + Number), Now);
+  }
+
+  Verdict handle(const PacketHeader &Header) {
+    return Host.handle(Packet, Header, Now);
+  }
+
+  //! Opens a flow and lets its server answer.
+  Server &openFlow(const FlowKey &Flow) {
+    Server &Target = *handle(makeOpen(Flow)).Target;
+    handle(makeData(Flow, Target.Token, 1001, 5000, 0));
+    return Target;
+  }
+
+  //! Advances the clock and returns what became due.
+  ForwarderWork advance(Milliseconds Time) {
+    Now += Time;
+    return Host.takeWork(Now);
+  }
+
+  Bytes Packet = Bytes(34, 0);
+  TimePoint Now = Start;
+  Forwarder Host{{.Domain = FailureDomainName("north"), .DomainCount = 3}};
+};
+
+} // namespace buckthorndeck::forwarding
+
+#endif // BUCKTHORNDECK_FORWARDING_TESTS_SAMPLES_H
