--- a/packages/entryhost/src/buckthorndeck/entryhost/PacketHost.cpp
+++ b/packages/entryhost/src/buckthorndeck/entryhost/PacketHost.cpp
@@ -398,6 +398,12 @@
   co_return Answer;
 }
 
+PacketHostEndpoints PacketHost::endpoints() const {
+  return {.Packets = Owned->Packets.localEndpoint(),
+          .Ready = Owned->Ready.localEndpoint(),
+          .Metrics = Owned->MetricsServer.localEndpoint()};
+}
+
 Task<> PacketHost::run() {
   Parts &Host = *Owned;
   log(LogLevel::Info, "started",
--- a/packages/entryhost/src/buckthorndeck/entryhost/PacketHost.h
+++ b/packages/entryhost/src/buckthorndeck/entryhost/PacketHost.h
@@ -11,6 +11,13 @@
 
 namespace buckthorndeck::entryhost {
 
+//! Where a host listens; the kernel may have chosen the ports.
+struct PacketHostEndpoints {
+  UdpEndpoint Packets;
+  TcpEndpoint Ready;
+  TcpEndpoint Metrics;
+};
+
 //! An entry host that forwards packets: its sockets and their tasks.
 class PacketHost {
 public:
@@ -21,6 +28,8 @@
         forwarding::RegistrySource Source);
   ~PacketHost();
 
+  PacketHostEndpoints endpoints() const;
+
   //! Serves until stop() has ended.
   Task<> run();
 
--- /dev/null
+++ b/packages/entryhost/tests/PacketSettingsTests.cpp
@@ -0,0 +1,95 @@
+#include "buckthorndeck/entryhost/PacketSettings.h"
+
+#include "SettingsFile.h"
+
+#include <catch2/catch.hpp>
+
+using namespace buckthorndeck;
+using namespace buckthorndeck::entryhost;
+
+namespace {
+
+Json goodSettings() {
+  return {{"name", "front-1"},
+          {"failure_domain", "north"},
+          {"failure_domains", {"north", "middle", "south"}},
+          {"packet_listen", "10.1.0.10:8172"},
+          {"ready_listen", "10.1.0.10:8167"},
+          {"ready_path", "/ready"},
+          {"metrics_listen", "10.1.0.10:8166"},
+          {"host_ip", "10.1.0.10"},
+          {"internal_ports", {7720, 7735}},
+          {"seeds", {"10.1.0.10:8166", "10.2.0.40:8166"}},
+          {"store", "10.200.1.7:8169"}};
+}
+
+} // namespace
+
+TEST_CASE("Good packet settings are read with their defaults", "[settings]") {
+  const SettingsFile File(goodSettings().dump());
+  const auto Read = loadPacketSettings(File.Path);
+  REQUIRE(Read);
+  CHECK(Read->FailureDomainCount == 3);
+  CHECK(toString(Read->HeartbeatListen) == "10.1.0.10:7720");
+  REQUIRE(Read->Seeds.size() == 2);
+  CHECK(toString(Read->Seeds[1]) == "10.2.0.40:7720");
+  CHECK(Read->ChangePause == Milliseconds(1500));
+  CHECK(Read->WatchWait == Milliseconds(3000));
+  CHECK(Read->FlowLifetime == std::chrono::seconds(60));
+}
+
+TEST_CASE("A watch and its failure fit into the time to notice one",
+          "[settings]") {
+  Json Settings = goodSettings();
+  Settings["detect_within_ms"] = 5000;
+  Settings["store_timeout_ms"] = 1000;
+  const SettingsFile File(Settings.dump());
+  const auto Read = loadPacketSettings(File.Path);
+  REQUIRE(Read);
+  CHECK(Read->WatchWait + Read->StoreTimeout < Milliseconds(5000));
+}
+
+TEST_CASE("A wrong or missing packet setting is named", "[settings]") {
+  struct Row {
+    const char *Field;
+    Json Value; //!< Discarded: the field is missing.
+  };
+  const Json Missing(Json::value_t::discarded);
+  const Row Rows[] = {{"name", ""},
+                      {"name", Missing},
+                      {"failure_domain", 3},
+                      {"failure_domains", Json::array()},
+                      {"packet_listen", "host:80"},
+                      {"packet_listen", Missing},
+                      {"ready_path", "ready"},
+                      {"store", "10.1.0.1:99999"},
+                      {"host_ip", "10.1.0.256"},
+                      {"internal_ports", Json::array()},
+                      {"seeds", {"nobody"}},
+                      {"flow_lifetime_s", 0},
+                      {"log_level", "loud"}};
+  for (const Row &Case : Rows) {
+    INFO(Case.Field);
+    Json Settings = goodSettings();
+    if (Case.Value.is_discarded())
+      Settings.erase(Case.Field);
+    else
+      Settings[Case.Field] = Case.Value;
+    const SettingsFile File(Settings.dump());
+    const auto Read = loadPacketSettings(File.Path);
+    REQUIRE_FALSE(Read);
+    bool Named = false;
+    for (const SchemaError &Violation : Read.error())
+      Named =
+          Named || describe(Violation).find(Case.Field) != std::string::npos;
+    CHECK(Named);
+  }
+}
+
+TEST_CASE("Packet settings that this version does not know are ignored",
+          "[settings]") {
+  Json Settings = goodSettings();
+  Settings["of_a_later_platform"] = {{"nested", true}};
+  const SettingsFile File(Settings.dump());
+  CHECK(loadPacketSettings(File.Path));
+}
--- a/packages/entryhost/tests/SettingsTests.cpp
+++ b/packages/entryhost/tests/SettingsTests.cpp
@@ -1,11 +1,11 @@
 #include "buckthorndeck/entryhost/Settings.h"
 
+#include "SettingsFile.h"
+
 #include <algorithm>
 #include <catch2/catch.hpp>
-#include <cstdio>
 #include <fstream>
 #include <sstream>
-#include <unistd.h>
 
 using namespace buckthorndeck;
 using namespace buckthorndeck::entryhost;
@@ -25,24 +25,6 @@
           {"fleet_key", std::string(64, 'a')}};
 }
 
-//! A settings file that is removed at the end of the test.
-class SettingsFile {
-public:
-  explicit SettingsFile(const std::string &Text) {
-    char Pattern[] = "/tmp/buckthorndeck-settings-XXXXXX";
-    const int File = ::mkstemp(Pattern);
-    REQUIRE(File >= 0);
-    ::close(File);
-    Path = Pattern;
-    std::ofstream(Path) << Text;
-  }
-  SettingsFile(const SettingsFile &) = delete;
-  SettingsFile &operator=(const SettingsFile &) = delete;
-  ~SettingsFile() { std::remove(Path.c_str()); }
-
-  std::string Path;
-};
-
 } // namespace
 
 TEST_CASE("Good settings are read with their defaults", "[settings]") {
--- /dev/null
+++ b/packages/net/tests/TcpProbeTests.cpp
@@ -0,0 +1,54 @@
+#include "buckthorndeck/net/TcpProbe.h"
+
+#include "RunTask.h"
+#include "buckthorndeck/net/HttpClient.h"
+#include "buckthorndeck/net/TcpListener.h"
+
+#include <catch2/catch.hpp>
+
+using namespace buckthorndeck;
+
+namespace {
+
+Task<> probeInto(TcpEndpoint Peer, Milliseconds Timeout, ProbeResult &Result) {
+  Result = co_await probeTcp(Peer, Timeout);
+}
+
+Task<> callInto(TcpEndpoint Peer, Milliseconds Timeout,
+                Expected<HttpResponse> &Result) {
+  HttpRequest Request;
+  Result = co_await callHttp(Peer, std::move(Request), Timeout);
+}
+
+//! An address that is reserved for documentation; nothing there answers.
+const TcpEndpoint Unreachable(boost::asio::ip::make_address_v4("192.0.2.1"), 9);
+
+} // namespace
+
+TEST_CASE("A connection attempt tells a listener from a closed port",
+          "[probe]") {
+  boost::asio::io_context Context;
+  auto Listener = listenTcp(Context.get_executor(), loopbackTcp());
+  REQUIRE(Listener);
+  const TcpEndpoint Where = Listener->local_endpoint();
+  ProbeResult Result = ProbeResult::TimedOut;
+  runTask(Context, probeInto(Where, Milliseconds(60'000), Result));
+  CHECK(Result == ProbeResult::Connected);
+  Listener->close();
+  runTask(Context, probeInto(Where, Milliseconds(60'000), Result));
+  CHECK(Result == ProbeResult::Refused);
+}
+
+TEST_CASE("A long call gives up soon on a peer that accepts no connection",
+          "[probe]") {
+  // A watch that was started during a partition hung for its whole wait of 20 s
+  // although the partition had ended. Where the network itself refuses the
+  // address the call ends even earlier.
+  boost::asio::io_context Context;
+  Expected<HttpResponse> Result;
+  const TimePoint Started = Clock::now();
+  runTask(Context, callInto(Unreachable, Milliseconds(60'000), Result));
+  REQUIRE_FALSE(Result);
+  CHECK(Result.error().Code == ErrorCode::Unavailable);
+  CHECK(Clock::now() - Started < std::chrono::seconds(30));
+}
