--- a/packages/entryhost/src/buckthorndeck/entryhost/PacketHost.cpp
+++ b/packages/entryhost/src/buckthorndeck/entryhost/PacketHost.cpp
@@ -189,7 +189,7 @@
 }
 
 void PacketHost::Parts::sendReset(const FlowKey &Flow, std::uint32_t Sequence) {
-  const Bytes Packet = Format.encodeReset(Flow, Sequence);
+  const Bytes Packet = Format.EncodeReset(Flow, Sequence);
   const UdpEndpoint Receiver(boost::asio::ip::address_v4(Flow.Caller.Ip),
                              Options.PacketListen.port());
   if (!Packets.send(Packet, Receiver))
@@ -198,7 +198,7 @@
 
 void PacketHost::Parts::handle(std::size_t Index, TimePoint Now) {
   const std::span<std::uint8_t> Packet = Batch.datagram(Index);
-  const std::optional<PacketHeader> Header = Format.decode(Packet);
+  const std::optional<PacketHeader> Header = Format.Decode(Packet);
   if (!Header) {
     ++State.Undecodable;
     log(LogLevel::Debug, "packet_undecodable", {{"bytes", Packet.size()}});
@@ -211,9 +211,9 @@
   if (Result.Action != PacketAction::Forward)
     return;
   if (Header->Open)
-    Format.writeToken(Packet, Result.Target->Token);
+    Format.WriteToken(Packet, Result.Target->Token);
   const auto Datagram = Batch.withHeadroom(Index, Format.ServerPrefixBytes);
-  Format.writeServerPrefix(Datagram.first(Format.ServerPrefixBytes),
+  Format.WriteServerPrefix(Datagram.first(Format.ServerPrefixBytes),
                            Result.Target->Record.Id.value());
   Batch.queue(Packets, Datagram, Result.Target->Record.Address);
 }
@@ -253,9 +253,9 @@
   std::copy(Packet.begin(), Packet.end(),
             Datagram.begin() +
                 static_cast<std::ptrdiff_t>(Format.ServerPrefixBytes));
-  Format.writeServerPrefix(Whole.first(Format.ServerPrefixBytes),
+  Format.WriteServerPrefix(Whole.first(Format.ServerPrefixBytes),
                            Target.Record.Id.value());
-  Format.writeToken(Whole.subspan(Format.ServerPrefixBytes), Target.Token);
+  Format.WriteToken(Whole.subspan(Format.ServerPrefixBytes), Target.Token);
   if (!Packets.send(Datagram, Target.Record.Address))
     ++State.SendsDropped;
 }
@@ -340,7 +340,7 @@
                                                     std::string Path,
                                                     std::string Name) {
   const Expected<std::string> Answering =
-      co_await Source.readServerName(Address, Path);
+      co_await Source.ReadServerName(Address, Path);
   if (!Answering) {
     log(LogLevel::Info, "identity_unknown",
         {{"server", Name}, {"error", describe(Answering.error())}});
--- a/packages/entryhost/tests/PacketHostTests.cpp
+++ b/packages/entryhost/tests/PacketHostTests.cpp
@@ -43,11 +43,11 @@
 }
 
 PacketFormat testFormat() {
-  return {.decode = decode,
-          .writeToken = writeToken,
-          .encodeReset = encodeReset,
+  return {.Decode = decode,
+          .WriteToken = writeToken,
+          .EncodeReset = encodeReset,
           .ServerPrefixBytes = 8,
-          .writeServerPrefix = writeServerPrefix};
+          .WriteServerPrefix = writeServerPrefix};
 }
 
 Bytes makePacket(std::uint16_t Port, ServerToken Token, char Kind) {
@@ -61,7 +61,7 @@
 //! A store with one server and one route that never changes.
 RegistrySource fixedSource(const ServerRecord &Only) {
   RegistrySource Source;
-  Source.readServers = [Only](std::string) -> Task<Expected<RegistryPage>> {
+  Source.ReadServers = [Only](std::string) -> Task<Expected<RegistryPage>> {
     RegistryPage Page;
     Page.Changes.AsOf = StoreRevision(1);
     ServerChange Entry{.Name = Only.Name, .Revision = StoreRevision(1)};
@@ -69,7 +69,7 @@
     Page.Changes.Servers.push_back(Entry);
     co_return Page;
   };
-  Source.readRoutes = []() -> Task<Expected<RegistryChanges>> {
+  Source.ReadRoutes = []() -> Task<Expected<RegistryChanges>> {
     RegistryChanges Changes;
     RouteSet Routes;
     Routes.Version = ConfigVersion(1);
@@ -81,7 +81,7 @@
     Changes.Routes = Routes;
     co_return Changes;
   };
-  Source.watch = [](StoreRevision,
+  Source.Watch = [](StoreRevision,
                     Milliseconds Wait) -> Task<Expected<RegistryChanges>> {
     co_await sleepFor(Wait);
     co_return RegistryChanges();
--- a/packages/forwarding/src/buckthorndeck/forwarding/Packet.h
+++ b/packages/forwarding/src/buckthorndeck/forwarding/Packet.h
@@ -72,15 +72,15 @@
  */
 struct PacketFormat {
   //! No value for a packet that no caller can have sent.
-  std::optional<PacketHeader> (*decode)(ByteView Packet) = nullptr;
-  void (*writeToken)(std::span<std::uint8_t> Packet,
+  std::optional<PacketHeader> (*Decode)(ByteView Packet) = nullptr;
+  void (*WriteToken)(std::span<std::uint8_t> Packet,
                      ServerToken Token) = nullptr;
   //! A packet that ends the flow at its caller, as if from the service.
   //! Sequence is a number that the caller accepts.
-  Bytes (*encodeReset)(const FlowKey &Flow, std::uint32_t Sequence) = nullptr;
+  Bytes (*EncodeReset)(const FlowKey &Flow, std::uint32_t Sequence) = nullptr;
   //! Bytes that precede a packet on its way to one server process.
   std::size_t ServerPrefixBytes = 0;
-  void (*writeServerPrefix)(std::span<std::uint8_t> Prefix,
+  void (*WriteServerPrefix)(std::span<std::uint8_t> Prefix,
                             std::uint64_t ServerId) = nullptr;
   //! UDP port at which callers receive packets; set from the settings.
   std::uint16_t CallerPort = 0;
--- a/packages/forwarding/src/buckthorndeck/forwarding/Registry.h
+++ b/packages/forwarding/src/buckthorndeck/forwarding/Registry.h
@@ -41,16 +41,16 @@
  * no longer kept.
  */
 struct RegistrySource {
-  std::function<Task<Expected<RegistryPage>>(std::string From)> readServers;
-  std::function<Task<Expected<RegistryChanges>>()> readRoutes;
+  std::function<Task<Expected<RegistryPage>>(std::string From)> ReadServers;
+  std::function<Task<Expected<RegistryChanges>>()> ReadRoutes;
   //! Changes after a revision; waits up to Wait for the first.
   std::function<Task<Expected<RegistryChanges>>(StoreRevision After,
                                                 Milliseconds Wait)>
-      watch;
+      Watch;
   //! The name of the server that answers a health check at an address.
   std::function<Task<Expected<std::string>>(TcpEndpoint Address,
                                             std::string Path)>
-      readServerName;
+      ReadServerName;
 };
 
 } // namespace buckthorndeck::forwarding
--- a/packages/forwarding/src/buckthorndeck/forwarding/RegistryFeed.cpp
+++ b/packages/forwarding/src/buckthorndeck/forwarding/RegistryFeed.cpp
@@ -124,7 +124,7 @@
 }
 
 Task<bool> RegistryFeed::readRoutes() {
-  Expected<RegistryChanges> Changes = co_await Source.readRoutes();
+  Expected<RegistryChanges> Changes = co_await Source.ReadRoutes();
   if (!Changes && Changes.error().Code == ErrorCode::NotFound) {
     // Nothing is published yet; the watch brings the first version.
     recordAnswer(std::nullopt);
@@ -144,7 +144,7 @@
   std::optional<StoreRevision> First;
   std::string From;
   while (true) {
-    Expected<RegistryPage> Page = co_await Source.readServers(From);
+    Expected<RegistryPage> Page = co_await Source.ReadServers(From);
     if (!Page) {
       recordAnswer(Page.error());
       co_return false;
@@ -214,7 +214,7 @@
 Task<> RegistryFeed::follow() {
   while (!Stopped) {
     Expected<RegistryChanges> Changes =
-        co_await Source.watch(Position, Options.WatchWait);
+        co_await Source.Watch(Position, Options.WatchWait);
     if (Stopped)
       co_return;
     if (!Changes) {
--- a/packages/forwarding/tests/RegistryFeedTests.cpp
+++ b/packages/forwarding/tests/RegistryFeedTests.cpp
@@ -23,9 +23,9 @@
 
   RegistrySource source() {
     RegistrySource Calls;
-    Calls.readServers = [this](std::string) { return servers(); };
-    Calls.readRoutes = [this] { return routes(); };
-    Calls.watch = [this](StoreRevision After, Milliseconds) {
+    Calls.ReadServers = [this](std::string) { return servers(); };
+    Calls.ReadRoutes = [this] { return routes(); };
+    Calls.Watch = [this](StoreRevision After, Milliseconds) {
       return watch(After);
     };
     return Calls;
--- a/packages/operator/src/buckthorndeck/operator/Commands.cpp
+++ b/packages/operator/src/buckthorndeck/operator/Commands.cpp
@@ -47,6 +47,7 @@
     return ExitCode::UnknownOutcome;
   case ErrorCode::Unavailable:
   case ErrorCode::Refused:
+  case ErrorCode::Expired:
     return ExitCode::Unavailable;
   }
   return ExitCode::Unavailable;
