--- a/packages/forwarding/src/buckthorndeck/forwarding/Placement.cpp
+++ b/packages/forwarding/src/buckthorndeck/forwarding/Placement.cpp
@@ -17,8 +17,8 @@
 constexpr double DoubtCost = 10.0;
 //! Stands for the response time of a server that has not answered yet.
 constexpr double DefaultResponseMs = 30.0;
-//! Share of the even share of slots below which the own domain has no room.
-constexpr double DomainRoomShare = 0.5;
+//! Share of the even share of slots below which a domain passes flows on.
+constexpr double DomainRoomShare = 0.8;
 
 bool wasTried(const Server &Known, const PlacementContext &Context) {
   return std::find(Context.Tried.begin(), Context.Tried.end(), Known.Token) !=
@@ -47,8 +47,9 @@
          Known.State == Reachability::Silent;
 }
 
-//! Whether the own domain's usable servers have enough of all usable slots.
-bool ownDomainHasRoom(std::span<Server *const> Servers,
+//! Share of new flows that the own domain's usable servers can take: 1 while
+//! they have enough of all usable slots, else in proportion.
+double ownDomainShare(std::span<Server *const> Servers,
                       const PlacementContext &Context) {
   double Own = 0;
   double All = 0;
@@ -59,9 +60,11 @@
     if (Known->Record.Domain == Context.Domain)
       Own += Known->Record.Slots;
   }
-  return Own * static_cast<double>(Context.DomainCount) >=
-             DomainRoomShare * All &&
-         Own > 0;
+  if (All == 0)
+    return 0;
+  const double OfEvenShare =
+      Own * static_cast<double>(Context.DomainCount) / All;
+  return std::min(1.0, OfEvenShare / DomainRoomShare);
 }
 
 //! Cheapest server that Accept admits. Equal costs are resolved at random, so
@@ -124,7 +127,7 @@
       return Accept(Known) && !wasTried(Known, Context);
     });
   };
-  if (ownDomainHasRoom(Servers, Context))
+  if (randomUnit(Random) < ownDomainShare(Servers, Context))
     if (Server *Found = Choose([&](const Server &Known) {
           return isUsable(Known) && Known.Record.Domain == Context.Domain;
         }))
--- a/packages/forwarding/src/buckthorndeck/forwarding/Placement.h
+++ b/packages/forwarding/src/buckthorndeck/forwarding/Placement.h
@@ -36,9 +36,10 @@
 /**
  * Chooses the server that gets a new flow.
  *
- * Servers of the own failure domain come first while they hold at least half
- * of their even share of the service's slots: traffic between domains has a
- * price, and flows that stay inside survive a partition. Among the candidates
+ * Servers of the own failure domain come first: traffic between domains has a
+ * price, and flows that stay inside survive a partition. A domain that has lost
+ * servers keeps as many flows as it has slots for and passes the others on to
+ * all domains. Among the candidates
  * the one with the least expected work wins: open flows by observed response
  * time and slots, more during a slow start.
  */
