--- a/packages/forwarding/src/buckthorndeck/forwarding/Forwarder.cpp
+++ b/packages/forwarding/src/buckthorndeck/forwarding/Forwarder.cpp
@@ -266,8 +266,10 @@
                             .WaitingSince = Known.WaitingSince});
   if (Update.Retransmission) {
     ++Counters.Retransmissions;
-    // A server that has answered others lately lost a packet at most.
-    if (Target.ProgressAt <= Known.WaitingSince) {
+    // A server that has answered others lately lost a packet at most, and data
+    // that is older than what came before it was only overtaken on the way.
+    if (Target.ProgressAt <= Known.WaitingSince &&
+        Now - Known.WaitingSince >= ResponseDoubtTime) {
       doubt(Target, "retransmission", Now);
       addEvidence(Target, RetransmissionPoints, Now);
     }
--- a/packages/forwarding/tests/ForwarderTests.cpp
+++ b/packages/forwarding/tests/ForwarderTests.cpp
@@ -215,10 +215,11 @@
   Site.handle(Request);
   Site.advance(Milliseconds(100));
   finishCheck(Site, Target, CheckOutcome::Refused);
-  Site.handle(Request);
-  Site.handle(Request);
-  CHECK(Target.State == Reachability::Unhealthy);
-  Site.handle(Request);
+  for (int Count = 0; Count < 3; ++Count) {
+    CHECK(Target.State == Reachability::Unhealthy);
+    Site.Now += Milliseconds(200);
+    Site.handle(Request);
+  }
   CHECK(Target.State == Reachability::Silent);
 }
 
@@ -259,6 +260,19 @@
   CHECK(Site.advance(Milliseconds(0)).Checks.empty());
 }
 
+TEST_CASE("Data that was overtaken on the way is no evidence against a server",
+          "[forwarder]") {
+  // A request of two packets that arrive in the wrong order looks like a
+  // retransmission; three of them would silence a server that refuses checks.
+  ForwarderFixture Site(1);
+  Server &Target = Site.openFlow(makeFlow(1));
+  Site.handle(makeData(makeFlow(1), Target.Token, 1101, 5000));
+  Site.handle(makeData(makeFlow(1), Target.Token, 1001, 5000));
+  CHECK(Target.State == Reachability::Reachable);
+  CHECK(Target.Evidence == 0);
+  CHECK(Site.advance(Milliseconds(0)).Checks.empty());
+}
+
 TEST_CASE("A server whose address was given away never gets packets again",
           "[forwarder]") {
   // The health check of a dead server reaches its successor.
