--- a/packages/entryhost/src/buckthorndeck/entryhost/PacketMetrics.cpp
+++ b/packages/entryhost/src/buckthorndeck/entryhost/PacketMetrics.cpp
@@ -31,6 +31,11 @@
     add(Name, Help, MetricType::Gauge).metric.push_back(Metric);
   }
 
+  void histogram(const char *Name, const char *Help,
+                 const prometheus::Histogram &Source) {
+    add(Name, Help, MetricType::Histogram).metric.push_back(Source.Collect());
+  }
+
   static void addCounter(MetricFamily &Family, const char *Label,
                          const char *LabelValue, std::uint64_t Value) {
     ClientMetric Metric;
@@ -113,6 +118,13 @@
             static_cast<double>(Source.flowCount()));
   Out.gauge("buckthorndeck_ready", "1 while this host takes packets",
             State.Ready ? 1 : 0);
+  Out.histogram("buckthorndeck_handshake_seconds",
+                "Time from an open to the caller's next packet",
+                Source.latencies().Handshake);
+  Out.histogram("buckthorndeck_response_seconds",
+                "Time from a request to the first packet that acknowledges a "
+                "response",
+                Source.latencies().Response);
   addServers(Out, Source);
   return Out.text();
 }
--- a/packages/entryhost/tests/PacketHostTests.cpp
+++ b/packages/entryhost/tests/PacketHostTests.cpp
@@ -201,6 +201,7 @@
   const std::string Text = Site.call(Endpoints.Metrics, "/metrics").Body;
   CHECK(Text.find("buckthorndeck_flows_opened_total 1") != std::string::npos);
   CHECK(Text.find("reason=\"undecodable\"} 1") != std::string::npos);
+  CHECK(Text.find("buckthorndeck_response_seconds_count") != std::string::npos);
   CHECK(Text.find("buckthorndeck_ready 1") != std::string::npos);
   CHECK(Site.call(Endpoints.Metrics, SnapshotPath).Status == 200);
 }
--- a/packages/entryhost/tests/PacketSettingsTests.cpp
+++ b/packages/entryhost/tests/PacketSettingsTests.cpp
@@ -1,8 +1,10 @@
 #include "buckthorndeck/entryhost/PacketSettings.h"
 
 #include "SettingsFile.h"
+#include "buckthorndeck/entryhost/SettingsReader.h"
 
 #include <catch2/catch.hpp>
+#include <sstream>
 
 using namespace buckthorndeck;
 using namespace buckthorndeck::entryhost;
@@ -93,3 +95,11 @@
   const SettingsFile File(Settings.dump());
   CHECK(loadPacketSettings(File.Path));
 }
+
+TEST_CASE("The settings page describes the packet settings", "[settings]") {
+  std::ifstream Page(BUCKTHORNDECK_SOURCE "/docs/settings.md");
+  std::ostringstream Text;
+  Text << Page.rdbuf();
+  CHECK(Text.str().find(describeSchema(packetSettingsSchema())) !=
+        std::string::npos);
+}
--- a/packages/forwarding/src/buckthorndeck/forwarding/Forwarder.cpp
+++ b/packages/forwarding/src/buckthorndeck/forwarding/Forwarder.cpp
@@ -54,6 +54,10 @@
   return std::to_string(Token.value());
 }
 
+double seconds(Clock::duration Time) {
+  return std::chrono::duration<double>(Time).count();
+}
+
 std::int64_t ageMs(TimePoint Then, TimePoint Now) {
   if (Then == TimePoint{})
     return -1;
@@ -256,7 +260,11 @@
   const FlowUpdate Update = recordPacket(Known, Header, Now);
   if (Update.Established) {
     ++Counters.Established;
-    Openings.erase(Header.Flow);
+    const auto Opened = Openings.find(Header.Flow);
+    if (Opened != Openings.end()) {
+      Times->Handshake.Observe(seconds(Now - Opened->second.StartedAt));
+      Openings.erase(Opened);
+    }
   }
   if (Update.Progress)
     recordProgress(Target, Header.Flow, Update, Now);
@@ -291,8 +299,8 @@
   Target.Evidence = 0;
   if (Update.ResponseTime == Clock::duration{0})
     return;
-  const double Sample =
-      std::chrono::duration<double, std::milli>(Update.ResponseTime).count();
+  Times->Response.Observe(seconds(Update.ResponseTime));
+  const double Sample = 1000 * seconds(Update.ResponseTime);
   Target.ResponseMs =
       Target.ResponseMs == 0
           ? Sample
--- a/packages/forwarding/src/buckthorndeck/forwarding/Forwarder.h
+++ b/packages/forwarding/src/buckthorndeck/forwarding/Forwarder.h
@@ -3,6 +3,7 @@
 
 #include "buckthorndeck/base/Random.h"
 #include "buckthorndeck/forwarding/FlowTable.h"
+#include "buckthorndeck/forwarding/Latencies.h"
 #include "buckthorndeck/forwarding/Placement.h"
 #include "buckthorndeck/forwarding/RouteTable.h"
 #include "buckthorndeck/forwarding/ServerDirectory.h"
@@ -10,6 +11,7 @@
 
 #include <array>
 #include <deque>
+#include <memory>
 #include <optional>
 #include <vector>
 
@@ -130,6 +132,7 @@
   bool takeRefreshWish();
 
   const ForwarderCounters &counters() const { return Counters; }
+  const Latencies &latencies() const { return *Times; }
   const RouteTable &routes() const { return Routes; }
   ServerDirectory &servers() { return Servers; }
   std::size_t flowCount() const { return Flows.size(); }
@@ -189,6 +192,7 @@
   std::vector<ServerToken> FailedServers; //!< To be checked again.
   ForwarderWork Work;
   ForwarderCounters Counters;
+  std::unique_ptr<Latencies> Times = std::make_unique<Latencies>();
   routing::RetryBudget HedgeBudget;
   RandomEngine Random;
   TimePoint NextSweep;
--- a/packages/forwarding/tests/ForwarderTests.cpp
+++ b/packages/forwarding/tests/ForwarderTests.cpp
@@ -303,6 +303,23 @@
   CHECK(Target.State == Reachability::Reachable);
 }
 
+TEST_CASE("Handshakes and responses are timed from callers' packets",
+          "[forwarder]") {
+  ForwarderFixture Site(1);
+  Server &Target = *Site.handle(makeOpen(makeFlow(1))).Target;
+  Site.Now += Milliseconds(4);
+  Site.handle(makeData(makeFlow(1), Target.Token, 1001, 5000));
+  Site.Now += Milliseconds(30);
+  Site.handle(makeData(makeFlow(1), Target.Token, 1101, 6200, 0));
+  const auto Handshake = Site.Host.latencies().Handshake.Collect().histogram;
+  CHECK(Handshake.sample_count == 1);
+  CHECK(Handshake.sample_sum == Approx(0.004));
+  const auto Response = Site.Host.latencies().Response.Collect().histogram;
+  CHECK(Response.sample_count == 1);
+  CHECK(Response.sample_sum == Approx(0.030));
+  CHECK(Target.ResponseMs == Approx(30));
+}
+
 TEST_CASE("Flows that ended are forgotten and no longer counted",
           "[forwarder]") {
   ForwarderFixture Site(1);
