--- a/packages/forwarding/src/buckthorndeck/forwarding/RegistryFeed.cpp
+++ b/packages/forwarding/src/buckthorndeck/forwarding/RegistryFeed.cpp
@@ -12,6 +12,7 @@
 
 //! Least time between two refreshes that packets with unknown tokens cause.
 constexpr Milliseconds RefreshInterval{1000};
+constexpr unsigned MaxPageRetries = 5;
 //! A peer of the own failure domain answers within milliseconds.
 constexpr Milliseconds PeerTimeout{500};
 void logLost(const Error &Failure, unsigned Failures, TimePoint AnsweredAt) {
@@ -26,6 +27,11 @@
        {"answer_age_ms", AnsweredAt == TimePoint{} ? -1 : Age.count()}});
 }
 
+void logStaleRead(StoreRevision Read, StoreRevision Known) {
+  log(LogLevel::Info, "stale_read_ignored",
+      {{"revision", Read.value()}, {"known", Known.value()}});
+}
+
 void logLoaded(const std::string &From, StoreRevision Position,
                Forwarder &Target) {
   log(LogLevel::Info, "registry_loaded",
@@ -139,20 +145,42 @@
   co_return true;
 }
 
+//! Repeats the read of one page while the store is over its rate, as when all
+//! hosts start at once: beginning anew would only add to that.
+Task<Expected<RegistryPage>> RegistryFeed::readPage(std::string From,
+                                                    Freshness Wanted) {
+  for (unsigned Attempt = 0;; ++Attempt) {
+    Expected<RegistryPage> Page = co_await Source.ReadServers(From, Wanted);
+    if (Page) {
+      recordAnswer(std::nullopt);
+      co_return Page;
+    }
+    recordAnswer(Page.error());
+    if (Stopped || Page.error().Code != ErrorCode::Refused ||
+        Attempt == MaxPageRetries)
+      co_return Page;
+    co_await pause(config::backoffDelay(Options.Backoff, Attempt, Random));
+  }
+}
+
 Task<bool> RegistryFeed::readServers() {
+  const Freshness Wanted =
+      StaleRead ? Freshness::Latest : Freshness::MayBeStale;
   std::vector<std::string> Present;
   std::optional<StoreRevision> First;
   std::string From;
   while (true) {
-    Expected<RegistryPage> Page = co_await Source.ReadServers(From);
-    if (!Page) {
-      recordAnswer(Page.error());
+    Expected<RegistryPage> Page = co_await readPage(From, Wanted);
+    if (!Page)
       co_return false;
-    }
-    recordAnswer(std::nullopt);
     // Pages are not a snapshot: changes after the first may be missing.
     if (!First)
       First = Page->Changes.AsOf;
+    StaleRead = *First < Position;
+    if (StaleRead) {
+      logStaleRead(*First, Position);
+      co_return false;
+    }
     for (const ServerChange &Change : Page->Changes.Servers)
       if (Change.Record)
         Present.push_back(Change.Name);
@@ -161,11 +189,6 @@
       break;
     From = *Page->Next;
   }
-  if (*First < Position) {
-    log(LogLevel::Warn, "stale_read_ignored",
-        {{"revision", First->value()}, {"known", Position.value()}});
-    co_return false;
-  }
   Target.retainServers(std::move(Present), *First, Clock::now());
   Position = *First;
   co_return true;
--- a/packages/forwarding/tests/RegistryFeedTests.cpp
+++ b/packages/forwarding/tests/RegistryFeedTests.cpp
@@ -23,7 +23,9 @@
 
   RegistrySource source() {
     RegistrySource Calls;
-    Calls.ReadServers = [this](std::string) { return servers(); };
+    Calls.ReadServers = [this](std::string From, Freshness Wanted) {
+      return servers(std::move(From), Wanted);
+    };
     Calls.ReadRoutes = [this] { return routes(); };
     Calls.Watch = [this](StoreRevision After, Milliseconds) {
       return watch(After);
@@ -46,18 +48,31 @@
   std::optional<RouteSet> Routes = makeRoutes(1);
   std::vector<ServerChange> Entries;
   StoreRevision Revision{5};
+  std::optional<StoreRevision> StaleRevision; //!< Of reads that may be stale.
   unsigned Loads = 0;
+  unsigned PageReads = 0;
+  unsigned RefusePageRead = 0; //!< Number of the page read that is refused.
   std::vector<StoreRevision> Watches;
 
 private:
-  Task<Expected<RegistryPage>> servers() {
-    ++Loads;
+  //! One entry a page.
+  Task<Expected<RegistryPage>> servers(std::string From, Freshness Wanted) {
+    Loads += From.empty() ? 1 : 0;
+    ++PageReads;
     Changed.notifyAll();
     if (Down)
       co_return Unexpected(makeError(ErrorCode::Unavailable));
+    if (RefusePageRead == PageReads)
+      co_return Unexpected(makeError(ErrorCode::Refused));
     RegistryPage Page;
-    Page.Changes.AsOf = Revision;
-    Page.Changes.Servers = Entries;
+    Page.Changes.AsOf = Wanted == Freshness::Latest
+                            ? Revision
+                            : StaleRevision.value_or(Revision);
+    const std::size_t Index = From.empty() ? 0 : std::stoul(From);
+    if (Index < Entries.size())
+      Page.Changes.Servers.push_back(Entries[Index]);
+    if (Index + 1 < Entries.size())
+      Page.Next = std::to_string(Index + 1);
     co_return Page;
   }
 
@@ -183,6 +198,32 @@
   CHECK(Site.Host.servers().find(tokenOf(makeServer(0)))->Registered);
 }
 
+TEST_CASE("A page that the store refuses is read again, not the whole registry",
+          "[feed]") {
+  // All hosts of a fleet start at once and are over the store's rate together.
+  FeedFixture Site;
+  Site.Store.Entries.push_back(entryOf(1, 4));
+  Site.Store.Entries.push_back(entryOf(2, 5));
+  Site.Store.RefusePageRead = 2;
+  Site.start();
+  runTask(Site.Context, Site.Store.waitWatches(1));
+  CHECK(Site.Store.Loads == 1);
+  CHECK(Site.Store.PageReads == 4);
+  CHECK(Site.Host.servers().size() == 3);
+}
+
+TEST_CASE("A host that knows more than a stale read asks for the latest",
+          "[feed]") {
+  FeedFixture Site;
+  Site.start();
+  runTask(Site.Context, Site.Store.waitWatches(1));
+  Site.Store.StaleRevision = StoreRevision(2);
+  Site.Store.Revision = StoreRevision(90);
+  Site.Store.answerWatch(Unexpected(makeError(ErrorCode::Expired)));
+  runTask(Site.Context, Site.Store.waitWatches(2));
+  CHECK(Site.Store.Watches[1] == StoreRevision(90));
+}
+
 TEST_CASE("A host that cannot read the store serves from a peer's snapshot",
           "[feed]") {
   // Two of three hosts of a failure domain restarted while it was cut off.
