Ask the store again at once after an answer that was cut; sum up bulk changes in the log

A storm of large configurations is cut by size alike. Ruled out: the store's rate of reads (stale-allowed pages did not change it). Open: serving after all were killed takes 30 s at 300.

--- a/packages/forwarding/src/buckthorndeck/forwarding/Forwarder.cpp
+++ b/packages/forwarding/src/buckthorndeck/forwarding/Forwarder.cpp
@@ -459,13 +459,13 @@
 }
 
 void Forwarder::updateServer(ServerRecord Record, StoreRevision Revision,
-                             TimePoint Now) {
+                             TimePoint Now, LogLevel Level) {
   const ServerToken Token = tokenOf(Record);
   const auto Change = Servers.update(std::move(Record), Revision, Now);
   if (Change == ServerDirectory::Change::None)
     return;
   Server &Known = *Servers.find(Token);
-  log(LogLevel::Info, "server_updated",
+  log(Level, "server_updated",
       {{"server", Known.Record.Name},
        {"token", tokenText(Token)},
        {"added", Change == ServerDirectory::Change::Added},
--- a/packages/forwarding/src/buckthorndeck/forwarding/Forwarder.h
+++ b/packages/forwarding/src/buckthorndeck/forwarding/Forwarder.h
@@ -1,6 +1,7 @@
 #ifndef BUCKTHORNDECK_FORWARDING_FORWARDER_H
 #define BUCKTHORNDECK_FORWARDING_FORWARDER_H
 
+#include "buckthorndeck/base/Log.h"
 #include "buckthorndeck/base/Random.h"
 #include "buckthorndeck/forwarding/FlowTable.h"
 #include "buckthorndeck/forwarding/Latencies.h"
@@ -103,7 +104,9 @@
 
   //! Ignores a version that is not higher than the one in force.
   void applyRoutes(RouteSet Next);
-  void updateServer(ServerRecord Record, StoreRevision Revision, TimePoint Now);
+  //! Level is that of the log line; a bulk of changes is summed up elsewhere.
+  void updateServer(ServerRecord Record, StoreRevision Revision, TimePoint Now,
+                    LogLevel Level = LogLevel::Info);
   void removeServer(const std::string &Name, StoreRevision Revision,
                     TimePoint Now);
   //! Ends a complete read of the registry.
--- a/packages/forwarding/src/buckthorndeck/forwarding/Registry.h
+++ b/packages/forwarding/src/buckthorndeck/forwarding/Registry.h
@@ -26,6 +26,7 @@
   std::optional<RouteSet> Routes;
   StoreRevision AsOf;     //!< Of the whole store; later changes are missing.
   std::size_t Events = 0; //!< Including those of no interest.
+  std::size_t Bytes = 0;  //!< Size of the answer.
 };
 
 //! One page of all registry entries.
--- a/packages/forwarding/src/buckthorndeck/forwarding/RegistryFeed.cpp
+++ b/packages/forwarding/src/buckthorndeck/forwarding/RegistryFeed.cpp
@@ -13,6 +13,13 @@
 //! Least time between two refreshes that packets with unknown tokens cause.
 constexpr Milliseconds RefreshInterval{1000};
 constexpr unsigned MaxPageRetries = 5;
+// The store cuts answers at about 500 items or 1 MB. A pause after a cut answer
+// would put off what it did not hold; thousands of servers took 18 s to arrive.
+constexpr std::size_t CutAnswerEvents = 250;
+constexpr std::size_t CutAnswerBytes = 400'000;
+//! More changes of servers in one answer are logged at debug level, since they
+//! would use up the lines of other events; watch_answered gives their number.
+constexpr std::size_t MaxLoggedChanges = 20;
 //! A peer of the own failure domain answers within milliseconds.
 constexpr Milliseconds PeerTimeout{500};
 void logLost(const Error &Failure, unsigned Failures, TimePoint AnsweredAt) {
@@ -27,6 +34,16 @@
        {"answer_age_ms", AnsweredAt == TimePoint{} ? -1 : Age.count()}});
 }
 
+void logWatch(const RegistryChanges &Changes) {
+  log(LogLevel::Info, "watch_answered",
+      {{"events", Changes.Events}, {"revision", Changes.AsOf.value()}});
+}
+
+//! Whether more changes may be waiting that did not fit into the answer.
+bool mayBeCut(const RegistryChanges &Changes) {
+  return Changes.Events >= CutAnswerEvents || Changes.Bytes >= CutAnswerBytes;
+}
+
 void logStaleRead(StoreRevision Read, StoreRevision Known) {
   log(LogLevel::Info, "stale_read_ignored",
       {{"revision", Read.value()}, {"known", Known.value()}});
@@ -121,9 +138,13 @@
   const TimePoint Now = Clock::now();
   if (Changes.Routes)
     Target.applyRoutes(std::move(*Changes.Routes));
+  const LogLevel Level = Changes.Servers.size() > MaxLoggedChanges
+                             ? LogLevel::Debug
+                             : LogLevel::Info;
   for (ServerChange &Change : Changes.Servers) {
     if (Change.Record)
-      Target.updateServer(std::move(*Change.Record), Change.Revision, Now);
+      Target.updateServer(std::move(*Change.Record), Change.Revision, Now,
+                          Level);
     else
       Target.removeServer(Change.Name, Change.Revision, Now);
   }
@@ -249,9 +270,10 @@
       continue;
     }
     recordAnswer(std::nullopt);
+    logWatch(*Changes);
     apply(*Changes);
     Position = std::max(Position, Changes->AsOf);
-    if (Changes->Events > 0)
+    if (Changes->Events > 0 && !mayBeCut(*Changes))
       co_await pause(Options.ChangePause);
   }
 }
--- a/packages/forwarding/tests/RegistryFeedTests.cpp
+++ b/packages/forwarding/tests/RegistryFeedTests.cpp
@@ -107,10 +107,14 @@
 
 class FeedFixture {
 public:
-  FeedFixture() { Store.Entries.push_back(entryOf(0, 3)); }
+  explicit FeedFixture(Milliseconds ChangePause = Milliseconds(1))
+      : Pause(ChangePause) {
+    Store.Entries.push_back(entryOf(0, 3));
+  }
 
   void start() { spawn(Context.get_executor(), "feed", Feed.run()); }
 
+  Milliseconds Pause;
   boost::asio::io_context Context;
   FakeStore Store{Context.get_executor()};
   Forwarder Host{{.Domain = FailureDomainName("north")}};
@@ -119,7 +123,7 @@
       {}};
   RegistryFeed Feed{
       Context.get_executor(),
-      {.ChangePause = Milliseconds(1),
+      {.ChangePause = Pause,
        .Backoff = {.First = Milliseconds(1), .Max = Milliseconds(1)}},
       Store.source(),
       Host,
@@ -158,6 +162,27 @@
   CHECK(Site.Store.Watches[1] == StoreRevision(6));
 }
 
+TEST_CASE("A host asks again at once after an answer that was cut", "[feed]") {
+  // 3,000 servers registered within a second arrive 500 at a time; a pause
+  // after each answer held a configuration back for 9 s.
+  FeedFixture Site(std::chrono::hours(1));
+  Site.start();
+  runTask(Site.Context, Site.Store.waitWatches(1));
+  RegistryChanges Cut;
+  Cut.AsOf = StoreRevision(505);
+  Cut.Events = 500;
+  Site.Store.answerWatch(Cut);
+  runTask(Site.Context, Site.Store.waitWatches(2));
+  CHECK(Site.Store.Watches[1] == StoreRevision(505));
+  // A storm of large configurations is cut by its size.
+  Cut.AsOf = StoreRevision(510);
+  Cut.Events = 5;
+  Cut.Bytes = 900'000;
+  Site.Store.answerWatch(Cut);
+  runTask(Site.Context, Site.Store.waitWatches(3));
+  CHECK(Site.Store.Watches[2] == StoreRevision(510));
+}
+
 TEST_CASE("A lost history is made good by a complete read", "[feed]") {
   FeedFixture Site;
   Site.start();
