--- a/packages/forwarding/src/buckthorndeck/forwarding/RegistryFeed.cpp
+++ b/packages/forwarding/src/buckthorndeck/forwarding/RegistryFeed.cpp
@@ -166,8 +166,9 @@
   co_return true;
 }
 
-//! Repeats the read of one page while the store is over its rate, as when all
-//! hosts start at once: beginning anew would only add to that.
+//! Repeats the read of a page that failed after others were read, or that the
+//! store refused because it is over its rate: when all hosts start at once,
+//! beginning anew would only add to the load.
 Task<Expected<RegistryPage>> RegistryFeed::readPage(std::string From,
                                                     Freshness Wanted) {
   for (unsigned Attempt = 0;; ++Attempt) {
@@ -177,8 +178,9 @@
       co_return Page;
     }
     recordAnswer(Page.error());
-    if (Stopped || Page.error().Code != ErrorCode::Refused ||
-        Attempt == MaxPageRetries)
+    const bool Repeated =
+        !From.empty() || Page.error().Code == ErrorCode::Refused;
+    if (Stopped || !Repeated || Attempt == MaxPageRetries)
       co_return Page;
     co_await pause(config::backoffDelay(Options.Backoff, Attempt, Random));
   }
--- a/packages/forwarding/tests/RegistryFeedTests.cpp
+++ b/packages/forwarding/tests/RegistryFeedTests.cpp
@@ -51,7 +51,8 @@
   std::optional<StoreRevision> StaleRevision; //!< Of reads that may be stale.
   unsigned Loads = 0;
   unsigned PageReads = 0;
-  unsigned RefusePageRead = 0; //!< Number of the page read that is refused.
+  unsigned FailedPageRead = 0; //!< Number of the page read that fails.
+  ErrorCode Failure = ErrorCode::Refused;
   std::vector<StoreRevision> Watches;
 
 private:
@@ -62,8 +63,8 @@
     Changed.notifyAll();
     if (Down)
       co_return Unexpected(makeError(ErrorCode::Unavailable));
-    if (RefusePageRead == PageReads)
-      co_return Unexpected(makeError(ErrorCode::Refused));
+    if (FailedPageRead == PageReads)
+      co_return Unexpected(makeError(Failure));
     RegistryPage Page;
     Page.Changes.AsOf = Wanted == Freshness::Latest
                             ? Revision
@@ -223,13 +224,13 @@
   CHECK(Site.Host.servers().find(tokenOf(makeServer(0)))->Registered);
 }
 
-TEST_CASE("A page that the store refuses is read again, not the whole registry",
-          "[feed]") {
+TEST_CASE("A page that fails is read again, not the whole registry", "[feed]") {
   // All hosts of a fleet start at once and are over the store's rate together.
   FeedFixture Site;
   Site.Store.Entries.push_back(entryOf(1, 4));
   Site.Store.Entries.push_back(entryOf(2, 5));
-  Site.Store.RefusePageRead = 2;
+  Site.Store.FailedPageRead = 2;
+  Site.Store.Failure = GENERATE(ErrorCode::Refused, ErrorCode::Timeout);
   Site.start();
   runTask(Site.Context, Site.Store.waitWatches(1));
   CHECK(Site.Store.Loads == 1);
