--- a/packages/forwarding/src/buckthorndeck/forwarding/Registry.h
+++ b/packages/forwarding/src/buckthorndeck/forwarding/Registry.h
@@ -35,10 +35,6 @@
   std::optional<std::string> Next; //!< Start of the next page, if any.
 };
 
-//! What a read may return. A read that may be stale costs the store little; the
-//! changes that it misses come by a watch from its position.
-enum class Freshness { Latest, MayBeStale };
-
 /**
  * The calls to the platform's store that the packet path needs.
  *
@@ -46,9 +42,7 @@
  * no longer kept.
  */
 struct RegistrySource {
-  std::function<Task<Expected<RegistryPage>>(std::string From,
-                                             Freshness Wanted)>
-      ReadServers;
+  std::function<Task<Expected<RegistryPage>>(std::string From)> ReadServers;
   std::function<Task<Expected<RegistryChanges>>()> ReadRoutes;
   //! Changes after a revision; waits up to Wait for the first.
   std::function<Task<Expected<RegistryChanges>>(StoreRevision After,
--- a/packages/forwarding/src/buckthorndeck/forwarding/RegistryFeed.cpp
+++ b/packages/forwarding/src/buckthorndeck/forwarding/RegistryFeed.cpp
@@ -169,10 +169,9 @@
 //! Repeats the read of a page that failed after others were read, or that the
 //! store refused because it is over its rate: when all hosts start at once,
 //! beginning anew would only add to the load.
-Task<Expected<RegistryPage>> RegistryFeed::readPage(std::string From,
-                                                    Freshness Wanted) {
+Task<Expected<RegistryPage>> RegistryFeed::readPage(std::string From) {
   for (unsigned Attempt = 0;; ++Attempt) {
-    Expected<RegistryPage> Page = co_await Source.ReadServers(From, Wanted);
+    Expected<RegistryPage> Page = co_await Source.ReadServers(From);
     if (Page) {
       recordAnswer(std::nullopt);
       co_return Page;
@@ -187,20 +186,17 @@
 }
 
 Task<bool> RegistryFeed::readServers() {
-  const Freshness Wanted =
-      StaleRead ? Freshness::Latest : Freshness::MayBeStale;
   std::vector<std::string> Present;
   std::optional<StoreRevision> First;
   std::string From;
   while (true) {
-    Expected<RegistryPage> Page = co_await readPage(From, Wanted);
+    Expected<RegistryPage> Page = co_await readPage(From);
     if (!Page)
       co_return false;
     // Pages are not a snapshot: changes after the first may be missing.
     if (!First)
       First = Page->Changes.AsOf;
-    StaleRead = *First < Position;
-    if (StaleRead) {
+    if (*First < Position) {
       logStaleRead(*First, Position);
       co_return false;
     }
--- a/packages/forwarding/src/buckthorndeck/forwarding/RegistryFeed.h
+++ b/packages/forwarding/src/buckthorndeck/forwarding/RegistryFeed.h
@@ -55,7 +55,7 @@
   Task<bool> loadFromPeer();
   Task<bool> readRoutes();
   Task<bool> readServers();
-  Task<Expected<RegistryPage>> readPage(std::string From, Freshness Wanted);
+  Task<Expected<RegistryPage>> readPage(std::string From);
   Task<> follow();
   void apply(RegistryChanges &Changes);
   void markLoaded(const std::string &From);
@@ -75,7 +75,6 @@
   std::uint64_t Calls = 0;
   unsigned Failures = 0; //!< In a row.
   bool Loaded = false;
-  bool StaleRead = false; //!< The last complete read was too old to use.
   bool Stopped = false;
 };
 
