Split the health check from the packet host; test it against a listener whose queue is full

The tests that used an address reserved for documentation could not fail where the network refuses that address at once. Removes a hint between hosts that nothing sent; a reset of a flow names the reason that holds for its server.

--- a/packages/entryhost/src/buckthorndeck/entryhost/PacketHost.cpp
+++ b/packages/entryhost/src/buckthorndeck/entryhost/PacketHost.cpp
@@ -1,16 +1,15 @@
 #include "buckthorndeck/entryhost/PacketHost.h"
 
 #include "buckthorndeck/base/Log.h"
+#include "buckthorndeck/entryhost/HealthCheck.h"
 #include "buckthorndeck/entryhost/PacketMetrics.h"
 #include "buckthorndeck/forwarding/Forwarder.h"
 #include "buckthorndeck/forwarding/RegistryFeed.h"
 #include "buckthorndeck/net/DatagramBatch.h"
 #include "buckthorndeck/net/HttpServer.h"
 #include "buckthorndeck/net/Notifier.h"
-#include "buckthorndeck/net/TcpProbe.h"
 
 #include <algorithm>
-#include <boost/asio/experimental/awaitable_operators.hpp>
 
 namespace buckthorndeck::entryhost {
 
@@ -33,11 +32,6 @@
 constexpr std::size_t BatchCapacity = 32;
 //! A full packet is 1,234 bytes; longer datagrams are refused by the decoder.
 constexpr std::size_t PacketBufferBytes = 1300;
-//! A connection takes one round trip of a few ms.
-constexpr Milliseconds HealthCheckTimeout{60};
-//! A timeout that is noticed later than this was delayed by this host, which
-//! had no processor time, and says nothing about the server.
-constexpr Milliseconds LateTimer{20};
 //! Callers repeat packets after 200 ms and more.
 constexpr Milliseconds MaxPacketHold{300};
 //! Due work is done in steps of this size, to share wake-ups.
@@ -51,44 +45,10 @@
 constexpr Milliseconds QuietTime{400};
 constexpr Milliseconds StopPollInterval{100};
 
-//! Whether a connection attempt ended by its timeout, and did so in time.
-bool isLate(TimePoint Due) { return Clock::now() - Due > LateTimer; }
-
 TcpEndpoint healthAddress(const Server &Target) {
   return {Target.Record.Address.address(), Target.Record.Address.port()};
 }
 
-//! Connects to Target and, at the same time, to a server that shows whether
-//! this host reaches servers at all.
-Task<CheckOutcome> probeWithControl(TcpEndpoint Target,
-                                    std::optional<TcpEndpoint> Control) {
-  using namespace boost::asio::experimental::awaitable_operators;
-  const TimePoint Due = Clock::now() + HealthCheckTimeout;
-  // Without a control server the answer of the target decides alone.
-  const TcpEndpoint Other = Control.value_or(Target);
-  const auto [TargetResult, ControlResult] =
-      co_await (probeTcp(Target, HealthCheckTimeout) &&
-                probeTcp(Other, HealthCheckTimeout));
-  if (TargetResult == ProbeResult::Connected)
-    co_return CheckOutcome::Connected;
-  if (TargetResult == ProbeResult::Refused)
-    co_return CheckOutcome::Refused;
-  if (ControlResult == ProbeResult::TimedOut || isLate(Due))
-    co_return CheckOutcome::Inconclusive;
-  co_return CheckOutcome::TimedOut;
-}
-
-//! A first attempt is made alone, since most servers answer it.
-Task<CheckOutcome> probeServer(TcpEndpoint Target,
-                               std::optional<TcpEndpoint> Control) {
-  const ProbeResult First = co_await probeTcp(Target, HealthCheckTimeout);
-  if (First == ProbeResult::Connected)
-    co_return CheckOutcome::Connected;
-  if (First == ProbeResult::Refused)
-    co_return CheckOutcome::Refused;
-  co_return co_await probeWithControl(Target, Control);
-}
-
 } // namespace
 
 struct PacketHost::Parts {
@@ -355,7 +315,7 @@
   std::optional<TcpEndpoint> Control;
   if (const Server *Other = Decisions.controlFor(Token))
     Control = healthAddress(*Other);
-  CheckOutcome Outcome = co_await probeServer(Address, Control);
+  CheckOutcome Outcome = co_await checkHealth(Address, Control);
   const std::optional<std::string> Path = Decisions.identityPath(Token);
   const Server *Target = Decisions.servers().find(Token);
   if (Outcome == CheckOutcome::Connected && Path && Target) {
--- a/packages/forwarding/src/buckthorndeck/forwarding/Forwarder.cpp
+++ b/packages/forwarding/src/buckthorndeck/forwarding/Forwarder.cpp
@@ -1,7 +1,5 @@
 #include "buckthorndeck/forwarding/Forwarder.h"
 
-#include "buckthorndeck/base/Log.h"
-
 #include <algorithm>
 
 namespace buckthorndeck::forwarding {
@@ -324,11 +322,6 @@
   ++Counters.Checks;
 }
 
-void Forwarder::recordHint(ServerToken Token, TimePoint Now) {
-  if (Server *Target = Servers.find(Token))
-    doubt(*Target, "peer", Now);
-}
-
 const Server *Forwarder::controlFor(ServerToken Checked) {
   const Server *Control = nullptr;
   Servers.forEach([&](const Server &Known) {
@@ -442,7 +435,7 @@
     log(LogLevel::Info, "flow_reset",
         {{"flow", toString(Key)},
          {"server", Target.Record.Name},
-         {"reason", toString(Refusal::ServerSilent)}});
+         {"reason", toString(deadReason(Target))}});
     eraseFlow(Key);
   }
   Counters.FlowsReset += Lost.size();
--- a/packages/forwarding/src/buckthorndeck/forwarding/Forwarder.h
+++ b/packages/forwarding/src/buckthorndeck/forwarding/Forwarder.h
@@ -121,8 +121,6 @@
   //! A server whose answer shows that this host can reach servers at all; null
   //! if there is none besides Checked. Prefers the own failure domain.
   const Server *controlFor(ServerToken Checked);
-  //! Another host finds that the server does not answer.
-  void recordHint(ServerToken Token, TimePoint Now);
 
   //! Does what is due and returns what needs a socket.
   ForwarderWork takeWork(TimePoint Now);
--- a/packages/net/tests/TcpProbeTests.cpp
+++ b/packages/net/tests/TcpProbeTests.cpp
@@ -1,5 +1,6 @@
 #include "buckthorndeck/net/TcpProbe.h"
 
+#include "FullListener.h"
 #include "RunTask.h"
 #include "buckthorndeck/net/HttpClient.h"
 #include "buckthorndeck/net/TcpListener.h"
@@ -20,9 +21,6 @@
   Result = co_await callHttp(Peer, std::move(Request), Timeout);
 }
 
-//! An address that is reserved for documentation; nothing there answers.
-const TcpEndpoint Unreachable(boost::asio::ip::make_address_v4("192.0.2.1"), 9);
-
 } // namespace
 
 TEST_CASE("A connection attempt tells a listener from a closed port",
@@ -42,12 +40,12 @@
 TEST_CASE("A long call gives up soon on a peer that accepts no connection",
           "[probe]") {
   // A watch that was started during a partition hung for its whole wait of 20 s
-  // although the partition had ended. Where the network itself refuses the
-  // address the call ends even earlier.
+  // although the partition had ended.
   boost::asio::io_context Context;
+  const FullListener Silent(Context);
   Expected<HttpResponse> Result;
   const TimePoint Started = Clock::now();
-  runTask(Context, callInto(Unreachable, Milliseconds(60'000), Result));
+  runTask(Context, callInto(Silent.endpoint(), Milliseconds(60'000), Result));
   REQUIRE_FALSE(Result);
   CHECK(Result.error().Code == ErrorCode::Unavailable);
   CHECK(Clock::now() - Started < std::chrono::seconds(30));
