Pause before the registry is read anew after a lost history

Cause: found by reading: a host whose watch answers 'history lost' read everything and watched again without a pause, and all hosts do so in the same moment. The test fails first (two reads instead of one).

--- a/packages/forwarding/src/buckthorndeck/forwarding/RegistryFeed.cpp
+++ b/packages/forwarding/src/buckthorndeck/forwarding/RegistryFeed.cpp
@@ -261,10 +261,10 @@
       co_return;
     if (!Changes) {
       recordAnswer(Changes.error());
-      if (Changes.error().Code == ErrorCode::Expired)
-        co_return;
       co_await pause(
           config::backoffDelay(Options.Backoff, Failures - 1, Random));
+      if (Changes.error().Code == ErrorCode::Expired)
+        co_return;
       continue;
     }
     recordAnswer(std::nullopt);
--- a/packages/forwarding/tests/RegistryFeedTests.cpp
+++ b/packages/forwarding/tests/RegistryFeedTests.cpp
@@ -105,14 +105,16 @@
 
 class FeedFixture {
 public:
-  explicit FeedFixture(Milliseconds ChangePause = Milliseconds(1))
-      : Pause(ChangePause) {
+  explicit FeedFixture(Milliseconds ChangePause = Milliseconds(1),
+                       Milliseconds Backoff = Milliseconds(1))
+      : Pause(ChangePause), Backoff(Backoff) {
     Store.Entries.push_back(entryOf(0, 3));
   }
 
   void start() { spawn(Context.get_executor(), "feed", Feed.run()); }
 
   Milliseconds Pause;
+  Milliseconds Backoff;
   boost::asio::io_context Context;
   FakeStore Store{Context.get_executor()};
   Forwarder Host{{.Domain = FailureDomainName("north")}};
@@ -121,8 +123,7 @@
       {}};
   RegistryFeed Feed{
       Context.get_executor(),
-      {.ChangePause = Pause,
-       .Backoff = {.First = Milliseconds(1), .Max = Milliseconds(1)}},
+      {.ChangePause = Pause, .Backoff = {.First = Backoff, .Max = Backoff}},
       Store.source(),
       Host,
       Peers};
@@ -195,6 +196,21 @@
   CHECK_FALSE(Site.Host.servers().find(tokenOf(makeServer(0)))->Registered);
 }
 
+TEST_CASE("A store that lost its history is not read again without a pause",
+          "[feed]") {
+  // All hosts lose the history at the same moment; a store that keeps none
+  // would be read by each of them without end.
+  FeedFixture Site(Milliseconds(1), std::chrono::hours(1));
+  Site.start();
+  runTask(Site.Context, Site.Store.waitWatches(1));
+  Site.Store.answerWatch(Unexpected(makeError(ErrorCode::Expired)));
+  Site.Context.poll();
+  CHECK(Site.Store.Loads == 1);
+  Site.Feed.refresh();
+  runTask(Site.Context, Site.Store.waitWatches(2));
+  CHECK(Site.Store.Loads == 2);
+}
+
 TEST_CASE("A failed watch is repeated from the same position", "[feed]") {
   FeedFixture Site;
   Site.start();
