Record a removed server in one place; drop an unread field and a redundant condition

Found by reading the whole change: two log lines for one event with different fields, PacketFormat::CallerPort that nothing read, and loops that tested a state which an open socket implies. No change of decisions; server_removed always carries its cause.

--- a/packages/entryhost/src/buckthorndeck/entryhost/PacketHost.cpp
+++ b/packages/entryhost/src/buckthorndeck/entryhost/PacketHost.cpp
@@ -193,7 +193,7 @@
 
 Task<> PacketHost::Parts::receivePackets() {
   co_await holdPackets();
-  while (!Stopping || Packets.isOpen()) {
+  while (Packets.isOpen()) {
     const bool Readable = co_await Packets.waitReadable();
     if (!Readable)
       co_return;
@@ -237,7 +237,7 @@
 }
 
 Task<> PacketHost::Parts::runTimer() {
-  while (!Stopping || Packets.isOpen()) {
+  while (Packets.isOpen()) {
     const TimePoint Soonest = Clock::now() + TimerStep;
     TimerDue = std::max(Decisions.nextDue(), Soonest);
     co_await Timer.waitUntil(TimerDue);
--- a/packages/forwarding/src/buckthorndeck/forwarding/Forwarder.cpp
+++ b/packages/forwarding/src/buckthorndeck/forwarding/Forwarder.cpp
@@ -475,37 +475,31 @@
 
 void Forwarder::removeServer(const std::string &Name, StoreRevision Revision,
                              TimePoint Now) {
-  Server *Known = Servers.remove(Name, Revision, Now);
-  if (!Known)
-    return;
-  log(LogLevel::Info, "server_removed",
-      {{"server", Name},
-       {"draining", Known->Record.Draining},
-       {"flows", Known->Flows},
-       {"progress_age_ms", ageMs(Known->ProgressAt, Now)},
-       {"server_revision", Revision.value()}});
-  doubtRemoved(*Known, Now);
+  if (Server *Known = Servers.remove(Name, Revision, Now))
+    recordRemoval(*Known, "removed_from_registry", Now);
 }
 
-void Forwarder::doubtRemoved(Server &Target, TimePoint Now) {
+void Forwarder::retainServers(std::vector<std::string> Present,
+                              StoreRevision Revision, TimePoint Now) {
+  for (Server *Known : Servers.retain(std::move(Present), Revision, Now))
+    recordRemoval(*Known, "absent_from_registry", Now);
+}
+
+void Forwarder::recordRemoval(Server &Target, const char *Cause,
+                              TimePoint Now) {
+  log(LogLevel::Info, "server_removed",
+      {{"server", Target.Record.Name},
+       {"cause", Cause},
+       {"draining", Target.Record.Draining},
+       {"flows", Target.Flows},
+       {"progress_age_ms", ageMs(Target.ProgressAt, Now)},
+       {"server_revision", Target.Revision.value()}});
   if (Target.Flows == 0)
     return;
   doubt(Target, "removed", Now);
   addEvidence(Target, RemovalPoints, Now);
 }
 
-void Forwarder::retainServers(std::vector<std::string> Present,
-                              StoreRevision Revision, TimePoint Now) {
-  for (Server *Known : Servers.retain(std::move(Present), Revision, Now)) {
-    log(LogLevel::Info, "server_removed",
-        {{"server", Known->Record.Name},
-         {"cause", "absent_from_registry"},
-         {"flows", Known->Flows},
-         {"server_revision", Revision.value()}});
-    doubtRemoved(*Known, Now);
-  }
-}
-
 bool Forwarder::ready(TimePoint Now) const {
   return Routes.version() != ConfigVersion() && Servers.size() > 0 &&
          !isolated(Now);
--- a/packages/forwarding/src/buckthorndeck/forwarding/Forwarder.h
+++ b/packages/forwarding/src/buckthorndeck/forwarding/Forwarder.h
@@ -171,7 +171,7 @@
   void eraseFlow(const FlowKey &Key);
   void hedgeOpen(const FlowKey &Key, TimePoint Now);
   void doubt(Server &Target, const char *Cause, TimePoint Now);
-  void doubtRemoved(Server &Target, TimePoint Now);
+  void recordRemoval(Server &Target, const char *Cause, TimePoint Now);
   void addEvidence(Server &Target, unsigned Points, TimePoint Now);
   void markUnhealthy(Server &Target, CheckOutcome Outcome, TimePoint Now);
   void silence(Server &Target, TimePoint Now);
--- a/packages/forwarding/src/buckthorndeck/forwarding/Packet.h
+++ b/packages/forwarding/src/buckthorndeck/forwarding/Packet.h
@@ -82,8 +82,6 @@
   std::size_t ServerPrefixBytes = 0;
   void (*WriteServerPrefix)(std::span<std::uint8_t> Prefix,
                             std::uint64_t ServerId) = nullptr;
-  //! UDP port at which callers receive packets; set from the settings.
-  std::uint16_t CallerPort = 0;
 };
 
 } // namespace buckthorndeck::forwarding
