--- a/packages/net/src/buckthorndeck/net/HttpMessage.h
+++ b/packages/net/src/buckthorndeck/net/HttpMessage.h
@@ -21,7 +21,8 @@
   unsigned Status = 200;
   std::string Body; //!< Of the content type below, or empty.
   std::string ContentType = "application/json";
-  std::vector<HttpHeader> Headers; //!< Of a received response.
+  //! All of a received response; further ones of a response to be sent.
+  std::vector<HttpHeader> Headers;
 };
 
 } // namespace buckthorndeck
--- a/packages/net/src/buckthorndeck/net/HttpServer.cpp
+++ b/packages/net/src/buckthorndeck/net/HttpServer.cpp
@@ -43,6 +43,8 @@
     http::response<http::string_body> Response(
         static_cast<http::status>(Answer->Status), 11);
     Response.set(http::field::content_type, Answer->ContentType);
+    for (const HttpHeader &Header : Answer->Headers)
+      Response.set(Header.Name, Header.Value);
     Response.keep_alive(KeepAlive);
     Response.body() = std::move(Answer->Body);
     Response.prepare_payload();
