Randomized fault soak of the packet path

Real entry hosts run as processes; stand-ins for store, links to the store, routers, servers and callers run in the driver. 22 kinds of fault and planned work overlap, chosen by a seed; what callers and servers see is checked while it runs: intact packets and answers, at most one run an attempt, the right service, drain and configuration in time and never back, open flows not reset, recovery, and hosts that end by themselves. HostProcess keeps its interface and shares ChildProcess with it.

--- a/packages/faults/src/buckthorndeck/faults/HostProcess.cpp
+++ b/packages/faults/src/buckthorndeck/faults/HostProcess.cpp
@@ -2,10 +2,6 @@
 
 #include "buckthorndeck/base/JsonSchema.h"
 
-#include <boost/process/child.hpp>
-#include <boost/process/handles.hpp>
-#include <boost/process/io.hpp>
-#include <csignal>
 #include <filesystem>
 #include <fstream>
 #include <stdexcept>
@@ -13,19 +9,10 @@
 namespace buckthorndeck::faults {
 
 namespace {
-//! Between two looks at a child or at the file that it is to write.
+//! Between two looks for the file that a host is to write.
 constexpr Milliseconds PollInterval{10};
 } // namespace
 
-struct HostProcess::Child {
-  boost::process::child Process;
-
-  void signal(int Number) {
-    if (Process.running())
-      ::kill(Process.id(), Number);
-  }
-};
-
 HostProcess::HostProcess(const std::string &Program, std::string Directory,
                          Json Settings)
     : Name(Settings["name"].get<std::string>()) {
@@ -35,23 +22,17 @@
   Settings["ports_file"] = PortsFile;
   std::ofstream(Base + ".json") << Settings.dump();
   const std::string Log = Base + ".log";
-  // A child that inherited the stand-ins' sockets would keep the ports of
-  // stopped servers open.
-  Running = std::make_unique<Child>(Child{boost::process::child(
-      Program, "--settings=" + Base + ".json",
-      boost::process::std_out > Log + ".out", boost::process::std_err > Log,
-      boost::process::limit_handles)});
-}
-
-HostProcess::~HostProcess() {
-  kill();
-  if (Running->Process.joinable())
-    Running->Process.wait();
+  const ChildProcessOptions Options{
+      .Program = Program,
+      .Arguments = {"--settings=" + Base + ".json"},
+      .OutputFile = Log + ".out",
+      .ErrorFile = Log};
+  Running = std::make_unique<ChildProcess>(Options);
 }
 
 Task<HostAddresses> HostProcess::ready() {
   while (!std::filesystem::exists(PortsFile)) {
-    if (!Running->Process.running())
+    if (!Running->running())
       throw std::runtime_error(Name + " ended before it served");
     co_await sleepFor(PollInterval);
   }
@@ -70,15 +51,10 @@
                           .Metrics = Tcp("metrics")};
 }
 
-void HostProcess::kill() { Running->signal(SIGKILL); }
-void HostProcess::terminate() { Running->signal(SIGTERM); }
-void HostProcess::freeze() { Running->signal(SIGSTOP); }
-void HostProcess::resume() { Running->signal(SIGCONT); }
-
-Task<int> HostProcess::exited() {
-  while (Running->Process.running())
-    co_await sleepFor(PollInterval);
-  co_return Running->Process.exit_code();
-}
+void HostProcess::kill() { Running->kill(); }
+void HostProcess::terminate() { Running->terminate(); }
+void HostProcess::freeze() { Running->freeze(); }
+void HostProcess::resume() { Running->resume(); }
+Task<int> HostProcess::exited() { return Running->exited(); }
 
 } // namespace buckthorndeck::faults
--- a/packages/faults/src/buckthorndeck/faults/HostProcess.h
+++ b/packages/faults/src/buckthorndeck/faults/HostProcess.h
@@ -2,6 +2,7 @@
 #define BUCKTHORNDECK_FAULTS_HOSTPROCESS_H
 
 #include "buckthorndeck/base/Json.h"
+#include "buckthorndeck/faults/ChildProcess.h"
 #include "buckthorndeck/net/Endpoint.h"
 #include "buckthorndeck/net/Task.h"
 
@@ -24,10 +25,6 @@
   //! Starts Program with Settings, which needs no ports_file; Directory
   //! receives the settings, the ports file and the log.
   HostProcess(const std::string &Program, std::string Directory, Json Settings);
-  HostProcess(const HostProcess &) = delete;
-  HostProcess &operator=(const HostProcess &) = delete;
-  //! Kills the process if it still runs.
-  ~HostProcess();
 
   const std::string &name() const { return Name; }
 
@@ -43,11 +40,9 @@
   Task<int> exited();
 
 private:
-  struct Child;
-
   std::string Name;
   std::string PortsFile;
-  std::unique_ptr<Child> Running;
+  std::unique_ptr<ChildProcess> Running;
 };
 
 } // namespace buckthorndeck::faults
--- /dev/null
+++ b/packages/faults/src/buckthorndeck/faults/PacketFaults.cpp
@@ -0,0 +1,358 @@
+#include "buckthorndeck/faults/PacketFaults.h"
+
+#include <algorithm>
+
+namespace buckthorndeck::faults {
+
+namespace {
+
+constexpr Milliseconds Short{300};
+constexpr Milliseconds Long{3000};
+//! Platforms start a process again after a short delay.
+constexpr Milliseconds RestartDelay{300};
+//! A draining server serves on for this long.
+constexpr Milliseconds DrainTime{3000};
+//! Longest time after which addresses are given to other servers.
+constexpr Milliseconds ReuseDelay{2000};
+constexpr Milliseconds PollInterval{20};
+//! Servers of one service that must stay for others to be taken away.
+constexpr std::size_t MinServers = 2;
+
+//! Marks something as chosen by a fault for the length of a scope.
+class Choice {
+public:
+  explicit Choice(bool &Busy) : Busy(Busy) { Busy = true; }
+  Choice(const Choice &) = delete;
+  Choice &operator=(const Choice &) = delete;
+  ~Choice() { Busy = false; }
+
+private:
+  bool &Busy;
+};
+
+} // namespace
+
+struct PacketFaults::Kind {
+  const char *Name;
+  Task<> (PacketFaults::*Run)();
+};
+
+const std::vector<PacketFaults::Kind> &PacketFaults::kinds() {
+  static const std::vector<Kind> All = {
+      {"freeze_host", &PacketFaults::freezeOneHost},
+      {"kill_host", &PacketFaults::killOneHost},
+      {"kill_all_hosts", &PacketFaults::killAllHosts},
+      {"restart_in_turn", &PacketFaults::restartHostsInTurn},
+      {"store_refuses", &PacketFaults::refuseStore},
+      {"store_silent", &PacketFaults::silenceStore},
+      {"store_slow", &PacketFaults::slowStore},
+      {"store_loses_answers", &PacketFaults::loseStoreAnswers},
+      {"store_forgets_history", &PacketFaults::forgetHistory},
+      {"store_forgets_watches", &PacketFaults::forgetWatches},
+      {"store_cuts_watches", &PacketFaults::cutWatches},
+      {"host_cut_from_store", &PacketFaults::cutHostFromStore},
+      {"connections_silent", &PacketFaults::silenceStoreConnections},
+      {"entry_lost", &PacketFaults::loseEntry},
+      {"foreign_entries", &PacketFaults::writeForeignEntries},
+      {"server_crash", &PacketFaults::crashServer},
+      {"address_reused", &PacketFaults::reuseAddress},
+      {"server_freeze", &PacketFaults::freezeServer},
+      {"server_replaced", &PacketFaults::replaceServer},
+      {"server_cut_from_host", &PacketFaults::cutServerFromHost},
+      {"caller_packets_lost", &PacketFaults::loseCallerPackets},
+      {"config", &PacketFaults::publishVersions},
+  };
+  return All;
+}
+
+PacketFaults::PacketFaults(PacketSite &Site, PacketTraffic &Traffic)
+    : Site(Site), Traffic(Traffic) {}
+
+Milliseconds PacketFaults::between(Milliseconds Least, Milliseconds Most) {
+  const auto Span = static_cast<std::uint64_t>((Most - Least).count()) + 1;
+  return Least + Milliseconds(static_cast<Milliseconds::rep>(
+                     randomBelow(Site.random(), Span)));
+}
+
+PacketSiteHost *PacketFaults::chooseHost() {
+  std::vector<PacketSiteHost *> Free;
+  for (PacketSiteHost &Host : Site.hosts())
+    if (!Host.Busy && Host.Process)
+      Free.push_back(&Host);
+  return Free.empty() ? nullptr : Free[randomBelow(Site.random(), Free.size())];
+}
+
+PacketSiteServer *PacketFaults::chooseServer() {
+  std::vector<PacketSiteServer *> Free;
+  for (PacketSiteServer &Server : Site.servers()) {
+    const auto &Service = Server.Process->record().Service;
+    const auto Others = std::ranges::count_if(
+        Site.servers(), [&](const PacketSiteServer &Other) {
+          return !Other.Busy && Other.Process->alive() &&
+                 Other.Process->record().Service == Service;
+        });
+    if (!Server.Busy && Server.Process->alive() &&
+        static_cast<std::size_t>(Others) > MinServers)
+      Free.push_back(&Server);
+  }
+  return Free.empty() ? nullptr : Free[randomBelow(Site.random(), Free.size())];
+}
+
+Task<> PacketFaults::freezeOneHost() {
+  PacketSiteHost *Host = chooseHost();
+  if (!Host)
+    co_return;
+  const Choice Chosen(Host->Busy);
+  const Disturbance Harm(Host->State);
+  Host->Process->freeze();
+  co_await sleepFor(between(Short, Long));
+  Host->Process->resume();
+}
+
+Task<> PacketFaults::killHost(PacketSiteHost &Host) {
+  const Choice Chosen(Host.Busy);
+  const Disturbance Harm(Host.State);
+  Host.Process->kill();
+  co_await Host.Process->exited();
+  co_await sleepFor(RestartDelay);
+  Site.startHost(Host);
+}
+
+Task<> PacketFaults::killOneHost() {
+  PacketSiteHost *Host = chooseHost();
+  if (Host)
+    co_await killHost(*Host);
+}
+
+Task<> PacketFaults::killAllHosts() {
+  unsigned Left = 0;
+  for (PacketSiteHost &Host : Site.hosts()) {
+    if (Host.Busy || !Host.Process)
+      continue;
+    ++Left;
+    spawn(Site.executor(), "kill_host",
+          [](PacketFaults &Self, PacketSiteHost &Victim,
+             unsigned &Count) -> Task<> {
+            co_await Self.killHost(Victim);
+            --Count;
+          }(*this, Host, Left));
+  }
+  while (Left > 0)
+    co_await sleepFor(PollInterval);
+}
+
+//! Planned work: no promise is suspended for it.
+Task<> PacketFaults::restartHostsInTurn() {
+  for (PacketSiteHost &Host : Site.hosts()) {
+    if (Host.Busy || !Host.Process)
+      continue;
+    const Choice Chosen(Host.Busy);
+    Host.Process->terminate();
+    const int Code = co_await Host.Process->exited();
+    if (Code != 0)
+      ++Counts["exit code " + std::to_string(Code) + " of a planned stop"];
+    Site.startHost(Host);
+    co_await Site.waitReady(Long);
+  }
+}
+
+Task<> PacketFaults::refuseStore() {
+  const Disturbance Harm(Site.storeState());
+  platform::StoreFaults Faults;
+  Faults.Down = true;
+  Site.store().setFaults(Faults);
+  Site.store().cutWatches();
+  co_await sleepFor(between(Short, Long * 2));
+  Site.store().setFaults({});
+}
+
+Task<> PacketFaults::silenceStore() {
+  const Disturbance Harm(Site.storeState());
+  platform::StoreFaults Faults;
+  Faults.Silent = true;
+  Site.store().setFaults(Faults);
+  co_await sleepFor(between(Short, Long * 2));
+  Site.store().setFaults({});
+}
+
+Task<> PacketFaults::slowStore() {
+  const Disturbance Harm(Site.storeState());
+  platform::StoreFaults Faults;
+  Faults.Delay = between(Short / 2, Short * 3);
+  Site.store().setFaults(Faults);
+  co_await sleepFor(between(Short, Long));
+  Site.store().setFaults({});
+}
+
+Task<> PacketFaults::loseStoreAnswers() {
+  const Disturbance Harm(Site.storeState());
+  platform::StoreFaults Faults;
+  Faults.LostAnswers = 0.3;
+  Site.store().setFaults(Faults);
+  co_await sleepFor(between(Short, Long));
+  Site.store().setFaults({});
+}
+
+Task<> PacketFaults::forgetHistory() {
+  const Disturbance Harm(Site.storeState());
+  Site.store().compact();
+  co_return;
+}
+
+Task<> PacketFaults::forgetWatches() {
+  const Disturbance Harm(Site.storeState());
+  Site.store().forgetWatches();
+  co_return;
+}
+
+Task<> PacketFaults::cutWatches() {
+  Site.store().cutWatches();
+  co_return;
+}
+
+Task<> PacketFaults::cutHostFromStore() {
+  PacketSiteHost *Host = chooseHost();
+  if (!Host)
+    co_return;
+  const Disturbance Harm(Host->State);
+  standins::TcpLinkFaults Faults;
+  const std::uint64_t Variant = randomBelow(Site.random(), 4);
+  Faults.Refuse = Variant == 0;
+  Faults.HoldToServer = Variant == 1 || Variant == 3;
+  Faults.HoldFromServer = Variant == 2 || Variant == 3;
+  Host->StoreLink->setFaults(Faults);
+  if (Faults.Refuse)
+    Host->StoreLink->reset();
+  co_await sleepFor(between(Short, Long * 3));
+  Host->StoreLink->setFaults({});
+}
+
+Task<> PacketFaults::silenceStoreConnections() {
+  for (PacketSiteHost &Host : Site.hosts()) {
+    const Disturbance Harm(Host.State);
+    Host.StoreLink->silence();
+  }
+  co_return;
+}
+
+//! A server that lives loses its entry and gets it back.
+Task<> PacketFaults::loseEntry() {
+  PacketSiteServer *Server = chooseServer();
+  if (!Server)
+    co_return;
+  const Choice Chosen(Server->Busy);
+  const Disturbance Harm(Server->State);
+  Site.store().remove("servers/" + Server->Process->record().Name);
+  co_await sleepFor(between(Short, Long));
+  Site.store().announce(Server->Process->record());
+}
+
+Task<> PacketFaults::writeForeignEntries() {
+  Site.store().put("servers/i-00", "not JSON");
+  Site.store().put("servers/i-01", R"({"Service": 5, "State": "ready"})");
+  Site.store().put("other/key", "anything");
+  co_return;
+}
+
+Task<> PacketFaults::crashServer() {
+  PacketSiteServer *Server = chooseServer();
+  if (!Server)
+    co_return;
+  const Choice Chosen(Server->Busy);
+  const std::string Service = Server->Process->record().Service.value();
+  Server->Process->crash();
+  co_await sleepFor(between(Short, Long));
+  Site.unregister(*Server);
+  Site.addServer(Service);
+}
+
+//! A server ends; its address goes to one of the other service.
+Task<> PacketFaults::reuseAddress() {
+  PacketSiteServer *Server = chooseServer();
+  if (!Server)
+    co_return;
+  const Choice Chosen(Server->Busy);
+  const auto Ended = Server->Process->record();
+  Server->Process->crash();
+  Site.unregister(*Server);
+  co_await sleepFor(ReuseDelay);
+  Site.addServer(Ended.Service.value() == "a" ? "b" : "a", Ended.Address);
+  co_await sleepFor(Short);
+  Site.addServer(Ended.Service.value());
+}
+
+Task<> PacketFaults::freezeServer() {
+  PacketSiteServer *Server = chooseServer();
+  if (!Server)
+    co_return;
+  const Choice Chosen(Server->Busy);
+  const Disturbance Harm(Server->State);
+  Server->Process->setFrozen(true);
+  co_await sleepFor(between(Short, Long));
+  Server->Process->setFrozen(false);
+}
+
+//! Planned work: a new server, then the old one drains and ends.
+Task<> PacketFaults::replaceServer() {
+  PacketSiteServer *Server = chooseServer();
+  if (!Server)
+    co_return;
+  const Choice Chosen(Server->Busy);
+  Site.addServer(Server->Process->record().Service.value());
+  Server->Process->drain();
+  Site.store().announce(Server->Process->record());
+  Server->DrainedAt = Clock::now();
+  co_await sleepFor(DrainTime + between(Short, Long));
+  Site.unregister(*Server);
+  co_await sleepFor(Short);
+  Server->Process->crash();
+}
+
+//! Packets of one host do not reach one server.
+Task<> PacketFaults::cutServerFromHost() {
+  PacketSiteServer *Server = chooseServer();
+  const PacketSiteHost *Host = chooseHost();
+  if (!Server || !Host)
+    co_return;
+  const Choice Chosen(Server->Busy);
+  const Disturbance Harm(Server->State);
+  Server->Process->setFilter([Cut = Host->Packets](const UdpEndpoint &Sender) {
+    return Sender != Cut;
+  });
+  co_await sleepFor(between(Short, Long));
+  Server->Process->setFilter(nullptr);
+}
+
+Task<> PacketFaults::loseCallerPackets() {
+  Traffic.caller().setFaults({.Drop = 0.1, .Duplicate = 0.1});
+  co_await sleepFor(between(Short, Long));
+  Traffic.caller().setFaults({});
+}
+
+Task<> PacketFaults::publishVersions() {
+  const std::uint64_t Count = 1 + randomBelow(Site.random(), 3);
+  for (std::uint64_t Done = 0; Done < Count; ++Done) {
+    Site.publish();
+    co_await sleepFor(between(Milliseconds(0), Short));
+  }
+}
+
+Task<> PacketFaults::runOne(const Kind &What) {
+  ++Active;
+  ++Counts[What.Name];
+  co_await (this->*What.Run)();
+  --Active;
+}
+
+Task<> PacketFaults::run(Milliseconds Length, Milliseconds MaxPause) {
+  const TimePoint End = Clock::now() + Length;
+  while (Clock::now() < End) {
+    const Kind &Next = kinds()[randomBelow(Site.random(), kinds().size())];
+    spawn(Site.executor(), Next.Name, runOne(Next));
+    co_await sleepFor(between(Milliseconds(0), MaxPause));
+  }
+  while (Active > 0)
+    co_await sleepFor(PollInterval);
+}
+
+} // namespace buckthorndeck::faults
--- /dev/null
+++ b/packages/faults/src/buckthorndeck/faults/PacketFaults.h
@@ -0,0 +1,67 @@
+#ifndef BUCKTHORNDECK_FAULTS_PACKETFAULTS_H
+#define BUCKTHORNDECK_FAULTS_PACKETFAULTS_H
+
+#include "buckthorndeck/faults/PacketTraffic.h"
+
+#include <map>
+#include <string>
+
+namespace buckthorndeck::faults {
+
+/**
+ * Faults of hosts, store, links and servers, and planned work, that overlap.
+ *
+ * Kinds, targets and times are drawn from the site's random numbers.
+ */
+class PacketFaults {
+public:
+  PacketFaults(PacketSite &Site, PacketTraffic &Traffic);
+
+  //! Begins faults for Length, and returns once all have ended.
+  Task<> run(Milliseconds Length, Milliseconds MaxPause);
+  //! How many of each kind have begun.
+  const std::map<std::string, std::size_t> &counts() const { return Counts; }
+
+private:
+  struct Kind;
+  static const std::vector<Kind> &kinds();
+
+  Task<> runOne(const Kind &What);
+  Milliseconds between(Milliseconds Least, Milliseconds Most);
+  //! A host or server that no other fault has chosen; null if there is none.
+  PacketSiteHost *chooseHost();
+  PacketSiteServer *chooseServer();
+  Task<> killHost(PacketSiteHost &Host);
+
+  Task<> freezeOneHost();
+  Task<> killOneHost();
+  Task<> killAllHosts();
+  Task<> restartHostsInTurn();
+  Task<> refuseStore();
+  Task<> silenceStore();
+  Task<> slowStore();
+  Task<> loseStoreAnswers();
+  Task<> forgetHistory();
+  Task<> forgetWatches();
+  Task<> cutWatches();
+  Task<> cutHostFromStore();
+  Task<> silenceStoreConnections();
+  Task<> loseEntry();
+  Task<> writeForeignEntries();
+  Task<> crashServer();
+  Task<> reuseAddress();
+  Task<> freezeServer();
+  Task<> replaceServer();
+  Task<> cutServerFromHost();
+  Task<> loseCallerPackets();
+  Task<> publishVersions();
+
+  PacketSite &Site;
+  PacketTraffic &Traffic;
+  std::map<std::string, std::size_t> Counts;
+  unsigned Active = 0;
+};
+
+} // namespace buckthorndeck::faults
+
+#endif // BUCKTHORNDECK_FAULTS_PACKETFAULTS_H
--- /dev/null
+++ b/packages/faults/tests/SoakTests.cpp
@@ -0,0 +1,48 @@
+#include "buckthorndeck/faults/Soak.h"
+
+#include <catch2/catch.hpp>
+#include <filesystem>
+
+using namespace buckthorndeck;
+using namespace buckthorndeck::faults;
+
+namespace {
+
+//! A directory of its own, kept if the test fails.
+std::string makeDirectory() {
+  std::string Pattern =
+      (std::filesystem::temp_directory_path() / "soak-XXXXXX").string();
+  REQUIRE(::mkdtemp(Pattern.data()) != nullptr);
+  return Pattern;
+}
+
+SoakReport runSeed(SoakOptions Options, std::uint64_t Seed) {
+  const std::string Directory = makeDirectory();
+  Options.Site.Program = BUCKTHORNDECK_PROGRAM;
+  Options.Site.Directory = Directory;
+  Options.Site.Seed = Options.Traffic.Seed = Seed;
+  SoakReport Report = runSoak(Options);
+  INFO("seed " << Seed << ", logs in " << Directory << "\n"
+               << describe(Report));
+  CHECK(Report.Broken.empty());
+  if (Report.Broken.empty())
+    std::filesystem::remove_all(Directory);
+  return Report;
+}
+
+} // namespace
+
+TEST_CASE("Without a fault every packet flow gets its whole answers") {
+  const SoakReport Report = runSeed({.Length = Milliseconds(0)}, 1);
+  CHECK(Report.Outcomes.size() == 1);
+  CHECK(Report.Outcomes.at("answered") > 100);
+  CHECK(Report.HostResets == 0);
+}
+
+TEST_CASE("The packet path keeps its promises under overlapping faults") {
+  const std::uint64_t Seed = GENERATE(1, 2);
+  const SoakReport Report = runSeed(
+      {.Length = Milliseconds(8000), .MaxPause = Milliseconds(800)}, Seed);
+  CHECK(Report.Outcomes.at("answered") > 100);
+  CHECK(Report.Faults.size() > 5);
+}
