--- a/cmake/BuckthorndeckPackage.cmake
+++ b/cmake/BuckthorndeckPackage.cmake
@@ -54,3 +54,18 @@
     set_tests_properties(${Name}_tests PROPERTIES TIMEOUT 300)
   endif()
 endfunction()
+
+# Declares a fuzz target fuzz-<target> for each <target>.cpp of the current folder and the program
+# write-<name>-inputs, which writes their first inputs. See tools/fuzz.
+function(buckthorndeck_fuzz_targets Name)
+  foreach(Target ${ARGN})
+    add_executable(fuzz-${Target} ${Target}.cpp)
+    target_link_options(fuzz-${Target} PRIVATE -fsanitize=fuzzer)
+  endforeach()
+  add_executable(write-${Name}-inputs write-inputs.cpp)
+  list(TRANSFORM ARGN PREPEND fuzz- OUTPUT_VARIABLE Programs)
+  foreach(Program ${Programs} write-${Name}-inputs)
+    target_link_libraries(${Program} PRIVATE buckthorndeck_${Name})
+    target_include_directories(${Program} PRIVATE ${CMAKE_SOURCE_DIR}/packages/base/fuzz)
+  endforeach()
+endfunction()
--- a/packages/faults/programs/soak.cpp
+++ b/packages/faults/programs/soak.cpp
@@ -29,7 +29,8 @@
   --servers=N          Backend servers of each of two services [default: 4].
   --long-flows=N       Callers that keep their flow [default: 12].
   --short-flows=N      Callers that open a flow each time [default: 6].
-  --pause-ms=N         Longest pause between two faults [default: 1200].
+  --pause-ms=N         Longest pause between two faults; 0 lets the seed draw
+                       it [default: 0].
   --logs=DIRECTORY     Settings and logs of hosts, by seed [default: out/soak].
   -h --help            Show this text.
 
--- a/packages/faults/src/buckthorndeck/faults/PacketFaults.cpp
+++ b/packages/faults/src/buckthorndeck/faults/PacketFaults.cpp
@@ -1,6 +1,7 @@
 #include "buckthorndeck/faults/PacketFaults.h"
 
 #include <algorithm>
+#include <optional>
 
 namespace buckthorndeck::faults {
 
@@ -30,41 +31,65 @@
   bool &Busy;
 };
 
+//! How often a group of kinds is drawn. Planned work is frequent, since all
+//! promises hold for it; dense faults would leave nothing calm to check.
+enum Weight : unsigned {
+  Planned = 9,
+  HostFault = 2,
+  StoreFault = 1,
+  Other = 2
+};
+
 } // namespace
 
 struct PacketFaults::Kind {
   const char *Name;
   Task<> (PacketFaults::*Run)();
+  unsigned Weight;
 };
 
 const std::vector<PacketFaults::Kind> &PacketFaults::kinds() {
+  using Self = PacketFaults;
   static const std::vector<Kind> All = {
-      {"freeze_host", &PacketFaults::freezeOneHost},
-      {"kill_host", &PacketFaults::killOneHost},
-      {"kill_all_hosts", &PacketFaults::killAllHosts},
-      {"restart_in_turn", &PacketFaults::restartHostsInTurn},
-      {"store_refuses", &PacketFaults::refuseStore},
-      {"store_silent", &PacketFaults::silenceStore},
-      {"store_slow", &PacketFaults::slowStore},
-      {"store_loses_answers", &PacketFaults::loseStoreAnswers},
-      {"store_forgets_history", &PacketFaults::forgetHistory},
-      {"store_forgets_watches", &PacketFaults::forgetWatches},
-      {"store_cuts_watches", &PacketFaults::cutWatches},
-      {"host_cut_from_store", &PacketFaults::cutHostFromStore},
-      {"connections_silent", &PacketFaults::silenceStoreConnections},
-      {"entry_lost", &PacketFaults::loseEntry},
-      {"foreign_entries", &PacketFaults::writeForeignEntries},
-      {"server_crash", &PacketFaults::crashServer},
-      {"address_reused", &PacketFaults::reuseAddress},
-      {"server_freeze", &PacketFaults::freezeServer},
-      {"server_replaced", &PacketFaults::replaceServer},
-      {"server_cut_from_host", &PacketFaults::cutServerFromHost},
-      {"caller_packets_lost", &PacketFaults::loseCallerPackets},
-      {"config", &PacketFaults::publishVersions},
+      {"restart_in_turn", &Self::restartHostsInTurn, Planned},
+      {"server_replaced", &Self::replaceServer, Planned},
+      {"config", &Self::publishVersions, Planned},
+      {"foreign_entries", &Self::writeForeignEntries, Other},
+      {"freeze_host", &Self::freezeOneHost, HostFault},
+      {"kill_host", &Self::killOneHost, HostFault},
+      {"kill_all_hosts", &Self::killAllHosts, StoreFault},
+      {"store_refuses", &Self::refuseStore, StoreFault},
+      {"store_silent", &Self::silenceStore, StoreFault},
+      {"store_slow", &Self::slowStore, StoreFault},
+      {"store_loses_answers", &Self::loseStoreAnswers, StoreFault},
+      {"store_forgets_history", &Self::forgetHistory, StoreFault},
+      {"store_forgets_watches", &Self::forgetWatches, StoreFault},
+      {"store_cuts_watches", &Self::cutWatches, StoreFault},
+      {"host_cut_from_store", &Self::cutHostFromStore, HostFault},
+      {"connections_silent", &Self::silenceStoreConnections, StoreFault},
+      {"entry_lost", &Self::loseEntry, Other},
+      {"server_crash", &Self::crashServer, Other},
+      {"address_reused", &Self::reuseAddress, Other},
+      {"server_freeze", &Self::freezeServer, Other},
+      {"server_cut_from_host", &Self::cutServerFromHost, Other},
+      {"caller_packets_lost", &Self::loseCallerPackets, Other},
   };
   return All;
 }
 
+const PacketFaults::Kind &PacketFaults::draw() {
+  unsigned Sum = 0;
+  for (const Kind &Each : kinds())
+    Sum += Each.Weight;
+  std::uint64_t Point = randomBelow(Site.random(), Sum);
+  for (const Kind &Each : kinds()) {
+    if (Point < Each.Weight)
+      return Each;
+    Point -= Each.Weight;
+  }
+  return kinds().back();
+}
+
 PacketFaults::PacketFaults(PacketSite &Site, PacketTraffic &Traffic)
     : Site(Site), Traffic(Traffic) {}
 
@@ -212,8 +237,9 @@
 
 Task<> PacketFaults::cutHostFromStore() {
   PacketSiteHost *Host = chooseHost();
-  if (!Host)
+  if (!Host || Host->StoreCut)
     co_return;
+  const Choice Chosen(Host->StoreCut);
   const Disturbance Harm(Host->State);
   standins::TcpLinkFaults Faults;
   const std::uint64_t Variant = randomBelow(Site.random(), 4);
@@ -266,13 +292,16 @@
   Site.addServer(Service);
 }
 
-//! A server ends; its address goes to one of the other service.
+//! A server ends; its address goes to one of the other service, at times while
+//! a host still believes in the old entry.
 Task<> PacketFaults::reuseAddress() {
   PacketSiteServer *Server = chooseServer();
   if (!Server)
     co_return;
   const Choice Chosen(Server->Busy);
   const auto Ended = Server->Process->record();
+  if (randomBelow(Site.random(), 2) == 0)
+    spawn(Site.executor(), "cut_host", cutHostFromStore());
   Server->Process->crash();
   Site.unregister(*Server);
   co_await sleepFor(ReuseDelay);
@@ -340,6 +369,10 @@
 Task<> PacketFaults::runOne(const Kind &What) {
   ++Active;
   ++Counts[What.Name];
+  // Work that harms nothing must not be noticed.
+  std::optional<Disturbance> Harm;
+  if (What.Weight != Planned)
+    Harm.emplace(Site.state());
   co_await (this->*What.Run)();
   --Active;
 }
@@ -347,7 +380,7 @@
 Task<> PacketFaults::run(Milliseconds Length, Milliseconds MaxPause) {
   const TimePoint End = Clock::now() + Length;
   while (Clock::now() < End) {
-    const Kind &Next = kinds()[randomBelow(Site.random(), kinds().size())];
+    const Kind &Next = draw();
     spawn(Site.executor(), Next.Name, runOne(Next));
     co_await sleepFor(between(Milliseconds(0), MaxPause));
   }
--- a/packages/faults/src/buckthorndeck/faults/PacketFaults.h
+++ b/packages/faults/src/buckthorndeck/faults/PacketFaults.h
@@ -5,6 +5,7 @@
 
 #include <map>
 #include <string>
+#include <vector>
 
 namespace buckthorndeck::faults {
 
@@ -26,6 +27,7 @@
   struct Kind;
   static const std::vector<Kind> &kinds();
 
+  const Kind &draw();
   Task<> runOne(const Kind &What);
   Milliseconds between(Milliseconds Least, Milliseconds Most);
   //! A host or server that no other fault has chosen; null if there is none.
--- a/packages/faults/src/buckthorndeck/faults/PacketPromises.cpp
+++ b/packages/faults/src/buckthorndeck/faults/PacketPromises.cpp
@@ -20,8 +20,6 @@
 constexpr Milliseconds DrainTime{3000};
 constexpr Milliseconds ApplyTime{3000};
 constexpr Milliseconds RevertSlack{250};
-//! An unstable store stretches the time to apply a version.
-constexpr Milliseconds StoreSettleTime{12'000};
 
 //! The services that a version lets an address go to.
 std::vector<ServiceName> servicesOf(const PublishedRoutes &Version,
@@ -75,7 +73,7 @@
   // The last version that must be in force by now.
   const auto &Versions = Site.versions();
   auto Oldest = Versions.begin();
-  if (Calm && Site.storeState().lasted(StoreSettleTime))
+  if (Calm && Site.storeState().lasted(SettleTime))
     for (auto Each = Versions.begin(); Each != Versions.end(); ++Each)
       if (Opening.At - Each->At > ApplyTime)
         Oldest = Each;
@@ -138,6 +136,20 @@
   }
 }
 
+//! Planned work alone makes no call fail.
+void PacketPromises::checkCalm(const PacketCall &Call) {
+  if (Call.Result.Outcome == FlowOutcome::Answered ||
+      !Site.state().lasted(SettleTime))
+    return;
+  // A flow whose server drains, or whose route is gone, may end.
+  const bool Planned = Call.Result.Outcome == FlowOutcome::Closed ||
+                       Call.Service.Port >= FirstVersionPort;
+  if (!Planned)
+    report("undisturbed call", "request " + std::to_string(Call.Request) +
+                                   " to " + toString(Call.Service) + ": " +
+                                   standins::toString(Call.Result.Outcome));
+}
+
 void PacketPromises::checkDamage() {
   const auto ReportOnce = [&](const std::string &What) {
     if (Known.insert(What).second)
@@ -161,6 +173,8 @@
   const auto &Resets = Traffic.caller().resets();
   for (; ResetsSeen < Resets.size(); ++ResetsSeen)
     checkReset(Resets[ResetsSeen]);
+  for (; CallsSeen < Traffic.calls().size(); ++CallsSeen)
+    checkCalm(Traffic.calls()[CallsSeen]);
   checkDamage();
   for (PacketSiteHost &Host : Site.hosts())
     if (Host.Process && !Host.Busy && !Host.Process->running()) {
--- a/packages/faults/src/buckthorndeck/faults/PacketPromises.h
+++ b/packages/faults/src/buckthorndeck/faults/PacketPromises.h
@@ -38,6 +38,7 @@
                     const standins::FlowOpening &Opening,
                     const PacketSiteHost &Host);
   void checkReset(const standins::FlowReset &Reset);
+  void checkCalm(const PacketCall &Call);
   void checkDamage();
   bool allHostsCalm() const;
 
@@ -54,6 +55,7 @@
   std::set<std::string> Known; //!< Kinds of damage that were reported.
   std::map<std::size_t, std::size_t> OpeningsSeen; //!< By server.
   std::size_t ResetsSeen = 0;
+  std::size_t CallsSeen = 0;
   std::map<std::string, Proof> Proofs; //!< By host.
 };
 
--- a/packages/faults/src/buckthorndeck/faults/PacketSite.cpp
+++ b/packages/faults/src/buckthorndeck/faults/PacketSite.cpp
@@ -23,7 +23,6 @@
 constexpr const char *ReadyPath = "/v1/readiness";
 constexpr Milliseconds StartLimit{10'000};
 constexpr Milliseconds PollInterval{20};
-constexpr std::uint16_t FirstVersionPort = 10'000;
 constexpr std::uint32_t SlotsPerServer = 4;
 constexpr Milliseconds HostStopGrace{3000};
 //! Bounds of the users' deployments.
--- a/packages/faults/src/buckthorndeck/faults/PacketSite.h
+++ b/packages/faults/src/buckthorndeck/faults/PacketSite.h
@@ -73,6 +73,7 @@
   Calm State;
   std::uint64_t Lifetime = 0; //!< Raised at each start.
   bool Busy = false;          //!< Some fault stops or restarts it.
+  bool StoreCut = false;      //!< Some fault harms its link to the store.
 };
 
 //! One backend server, also after its end.
@@ -123,6 +124,8 @@
   const std::vector<PublishedRoutes> &versions() const { return Versions; }
   platform::RegistryStore &store() { return *Store; }
   Calm &storeState() { return StoreState; }
+  //! Of all that can be harmed.
+  Calm &state() { return State; }
   const standins::PacketRouter &router() const { return *Router; }
   RandomEngine &random() { return Random; }
   Executor executor() const { return Where; }
@@ -142,6 +145,7 @@
   UdpSocket HeartbeatPort; //!< Keeps the port from being given to others.
   std::unique_ptr<platform::RegistryStore> Store;
   Calm StoreState;
+  Calm State;
   std::deque<PacketSiteHost> Hosts;
   std::deque<PacketSiteServer> Servers;
   std::unique_ptr<standins::PacketRouter> Router;
@@ -155,6 +159,8 @@
 inline constexpr forwarding::SocketAddress RouteOfA{ServiceIp, 443};
 inline constexpr forwarding::SocketAddress RouteOfB{ServiceIp, 444};
 inline constexpr forwarding::SocketAddress ChangingRoute{ServiceIp, 445};
+//! Routes from this port on belong to one version each.
+inline constexpr std::uint16_t FirstVersionPort = 10'000;
 //! The route that only this version has.
 forwarding::SocketAddress routeOfVersion(ConfigVersion Version);
 
--- a/packages/faults/src/buckthorndeck/faults/Soak.cpp
+++ b/packages/faults/src/buckthorndeck/faults/Soak.cpp
@@ -14,6 +14,8 @@
 constexpr Milliseconds RecoveryTime{12'000};
 //! Traffic before the first fault and after the recovery.
 constexpr Milliseconds QuietTime{1000};
+constexpr Milliseconds DensePause{400};
+constexpr Milliseconds SparsePause{3000};
 //! Answers in a row that show that all is served again.
 constexpr std::size_t AnswersInARow = 30;
 
@@ -29,7 +31,7 @@
     Traffic.start();
     spawn(Where, "promises", check());
     co_await sleepFor(QuietTime);
-    co_await Faults.run(Options.Length, Options.MaxPause);
+    co_await Faults.run(Options.Length, maxPause());
     co_await recover();
     co_await Traffic.stop();
     Ended = true;
@@ -48,6 +50,15 @@
   }
 
 private:
+  Milliseconds maxPause() {
+    if (Options.MaxPause.count() > 0)
+      return Options.MaxPause;
+    const auto Span =
+        static_cast<std::uint64_t>((SparsePause - DensePause).count());
+    return DensePause + Milliseconds(static_cast<Milliseconds::rep>(
+                            randomBelow(Site.random(), Span)));
+  }
+
   Task<> check() {
     while (!Ended) {
       Promises.check();
--- a/packages/faults/src/buckthorndeck/faults/Soak.h
+++ b/packages/faults/src/buckthorndeck/faults/Soak.h
@@ -13,8 +13,9 @@
   PacketSiteOptions Site;
   PacketTrafficOptions Traffic;
   Milliseconds Length{20'000}; //!< Time in which faults begin.
-  //! Longest pause between the beginnings of two faults.
-  Milliseconds MaxPause{1200};
+  //! Longest pause between the beginnings of two faults; 0 lets the seed draw
+  //! it: dense faults overlap, sparse ones leave more to check.
+  Milliseconds MaxPause{0};
 };
 
 struct SoakReport {
--- /dev/null
+++ b/packages/forwarding/fuzz/heartbeat.cpp
@@ -0,0 +1,17 @@
+#include "Check.h"
+#include "buckthorndeck/forwarding/Peers.h"
+
+using namespace buckthorndeck;
+using namespace buckthorndeck::forwarding;
+
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t *Data,
+                                      std::size_t Size) {
+  const auto First = decodeHeartbeat(ByteView(Data, Size), "fuzz");
+  if (!First)
+    return 0;
+  const auto Second = decodeHeartbeat(encodeHeartbeat(*First), "fuzz");
+  check(Second.has_value());
+  check(Second->Sender.Name == First->Sender.Name);
+  check(Second->Others.size() == First->Others.size());
+  return 0;
+}
--- a/packages/wire/fuzz/relay.cpp
+++ b/packages/wire/fuzz/relay.cpp
@@ -1,6 +1,7 @@
 #include "buckthorndeck/wire/Relay.h"
 
 #include "Check.h"
+#include "FuzzKey.h"
 
 using namespace buckthorndeck;
 using namespace buckthorndeck::wire;
--- a/packages/wire/fuzz/token.cpp
+++ b/packages/wire/fuzz/token.cpp
@@ -1,6 +1,7 @@
 #include "buckthorndeck/wire/Token.h"
 
 #include "Check.h"
+#include "FuzzKey.h"
 
 using namespace buckthorndeck;
 using namespace buckthorndeck::wire;
