--- a/packages/faults/src/buckthorndeck/faults/PacketFaults.cpp
+++ b/packages/faults/src/buckthorndeck/faults/PacketFaults.cpp
@@ -135,6 +135,9 @@
 }
 
 Task<> PacketFaults::killHost(PacketSiteHost &Host) {
+  // Another fault may have chosen it before this task began.
+  if (Host.Busy || !Host.Process)
+    co_return;
   const Choice Chosen(Host.Busy);
   const Disturbance Harm(Host.State);
   Host.Process->kill();
@@ -150,20 +153,9 @@
 }
 
 Task<> PacketFaults::killAllHosts() {
-  unsigned Left = 0;
-  for (PacketSiteHost &Host : Site.hosts()) {
-    if (Host.Busy || !Host.Process)
-      continue;
-    ++Left;
-    spawn(Site.executor(), "kill_host",
-          [](PacketFaults &Self, PacketSiteHost &Victim,
-             unsigned &Count) -> Task<> {
-            co_await Self.killHost(Victim);
-            --Count;
-          }(*this, Host, Left));
-  }
-  while (Left > 0)
-    co_await sleepFor(PollInterval);
+  for (PacketSiteHost &Host : Site.hosts())
+    spawn(Site.executor(), "kill_host", track(killHost(Host)));
+  co_return;
 }
 
 //! Planned work: no promise is suspended for it.
@@ -301,7 +293,7 @@
   const Choice Chosen(Server->Busy);
   const auto Ended = Server->Process->record();
   if (randomBelow(Site.random(), 2) == 0)
-    spawn(Site.executor(), "cut_host", cutHostFromStore());
+    spawn(Site.executor(), "cut_host", track(cutHostFromStore()));
   Server->Process->crash();
   Site.unregister(*Server);
   co_await sleepFor(ReuseDelay);
@@ -366,6 +358,14 @@
   }
 }
 
+//! Lets run() wait for work that goes on beside others.
+Task<> PacketFaults::track(Task<> Work) {
+  const Disturbance Harm(Site.state());
+  ++Active;
+  co_await std::move(Work);
+  --Active;
+}
+
 Task<> PacketFaults::runOne(const Kind &What) {
   ++Active;
   ++Counts[What.Name];
--- a/packages/faults/src/buckthorndeck/faults/PacketFaults.h
+++ b/packages/faults/src/buckthorndeck/faults/PacketFaults.h
@@ -28,6 +28,7 @@
   static const std::vector<Kind> &kinds();
 
   const Kind &draw();
+  Task<> track(Task<> Work);
   Task<> runOne(const Kind &What);
   Milliseconds between(Milliseconds Least, Milliseconds Most);
   //! A host or server that no other fault has chosen; null if there is none.
--- a/packages/faults/src/buckthorndeck/faults/PacketPromises.cpp
+++ b/packages/faults/src/buckthorndeck/faults/PacketPromises.cpp
@@ -120,6 +120,9 @@
 }
 
 void PacketPromises::checkReset(const FlowReset &Reset) {
+  // Flows may be reset when a new version drops their route.
+  if (servicesOf(Site.versions().back(), Reset.Flow.Service).empty())
+    return;
   const PacketSiteHost *Host = Site.hostAt(Reset.Sender);
   for (const PacketSiteServer &Server : Site.servers()) {
     const auto &Process = *Server.Process;
@@ -143,8 +146,10 @@
     return;
   // A flow whose server drains, or whose route is gone, may end.
   const bool Planned = Call.Result.Outcome == FlowOutcome::Closed ||
-                       Call.Service.Port >= FirstVersionPort;
-  if (!Planned)
+                       servicesOf(Site.versions().back(), Call.Service).empty();
+  // Hosts learn of a route some time after its version.
+  const bool NewRoute = Call.Service.Port >= FirstVersionPort;
+  if (!Planned && !NewRoute)
     report("undisturbed call", "request " + std::to_string(Call.Request) +
                                    " to " + toString(Call.Service) + ": " +
                                    standins::toString(Call.Result.Outcome));
--- a/packages/faults/src/buckthorndeck/faults/Soak.cpp
+++ b/packages/faults/src/buckthorndeck/faults/Soak.cpp
@@ -4,6 +4,9 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <csignal>
+#include <stdexcept>
 
 namespace buckthorndeck::faults {
 
@@ -118,6 +121,15 @@
                           Failure = Caught;
                           Context.stop();
                         });
+  // Without it the hosts would outlive an interrupted run.
+  boost::asio::signal_set Signals(Context, SIGINT, SIGTERM);
+  Signals.async_wait([&](const boost::system::error_code &Code, int Number) {
+    if (Code)
+      return;
+    Failure = std::make_exception_ptr(
+        std::runtime_error("interrupted by signal " + std::to_string(Number)));
+    Context.stop();
+  });
   Context.run();
   if (Failure)
     std::rethrow_exception(Failure);
--- a/packages/faults/src/buckthorndeck/faults/Soak.h
+++ b/packages/faults/src/buckthorndeck/faults/Soak.h
@@ -26,7 +26,8 @@
 };
 
 //! Runs real entry hosts under traffic and faults that the seed chooses, and
-//! checks the product's promises. Throws if the site cannot be started.
+//! checks the product's promises. Throws if the site cannot be started or a
+//! signal asks for the end.
 SoakReport runSoak(const SoakOptions &Options);
 
 //! A few lines for people.
