--- a/packages/faults/src/buckthorndeck/faults/PacketFaults.cpp
+++ b/packages/faults/src/buckthorndeck/faults/PacketFaults.cpp
@@ -16,6 +16,8 @@
 //! Longest time after which addresses are given to other servers.
 constexpr Milliseconds ReuseDelay{2000};
 constexpr Milliseconds PollInterval{20};
+//! All hosts restarted in turn take up to 6 s each.
+constexpr Milliseconds EndLimit{60'000};
 //! Servers of one service that must stay for others to be taken away.
 constexpr std::size_t MinServers = 2;
 
@@ -154,7 +156,7 @@
 
 Task<> PacketFaults::killAllHosts() {
   for (PacketSiteHost &Host : Site.hosts())
-    spawn(Site.executor(), "kill_host", track(killHost(Host)));
+    spawn(Site.executor(), "kill_host", track("kill_host", killHost(Host)));
   co_return;
 }
 
@@ -293,7 +295,7 @@
   const Choice Chosen(Server->Busy);
   const auto Ended = Server->Process->record();
   if (randomBelow(Site.random(), 2) == 0)
-    spawn(Site.executor(), "cut_host", track(cutHostFromStore()));
+    spawn(Site.executor(), "cut_host", track("cut_host", cutHostFromStore()));
   Server->Process->crash();
   Site.unregister(*Server);
   co_await sleepFor(ReuseDelay);
@@ -358,23 +360,31 @@
   }
 }
 
+std::string PacketFaults::unfinished() const {
+  std::string Names;
+  for (const auto &[Name, Count] : Active)
+    if (Count > 0)
+      Names += " " + Name;
+  return Names;
+}
+
 //! Lets run() wait for work that goes on beside others.
-Task<> PacketFaults::track(Task<> Work) {
+Task<> PacketFaults::track(std::string Name, Task<> Work) {
   const Disturbance Harm(Site.state());
-  ++Active;
+  ++Active[Name];
   co_await std::move(Work);
-  --Active;
+  --Active[Name];
 }
 
 Task<> PacketFaults::runOne(const Kind &What) {
-  ++Active;
+  ++Active[What.Name];
   ++Counts[What.Name];
   // Work that harms nothing must not be noticed.
   std::optional<Disturbance> Harm;
   if (What.Weight != Planned)
     Harm.emplace(Site.state());
   co_await (this->*What.Run)();
-  --Active;
+  --Active[What.Name];
 }
 
 Task<> PacketFaults::run(Milliseconds Length, Milliseconds MaxPause) {
@@ -384,7 +394,8 @@
     spawn(Site.executor(), Next.Name, runOne(Next));
     co_await sleepFor(between(Milliseconds(0), MaxPause));
   }
-  while (Active > 0)
+  const TimePoint Due = Clock::now() + EndLimit;
+  while (!unfinished().empty() && Clock::now() < Due)
     co_await sleepFor(PollInterval);
 }
 
--- a/packages/faults/src/buckthorndeck/faults/PacketFaults.h
+++ b/packages/faults/src/buckthorndeck/faults/PacketFaults.h
@@ -20,6 +20,9 @@
 
   //! Begins faults for Length, and returns once all have ended.
   Task<> run(Milliseconds Length, Milliseconds MaxPause);
+  //! Kinds that have not ended, as text; empty once run() has returned, unless
+  //! something hangs.
+  std::string unfinished() const;
   //! How many of each kind have begun.
   const std::map<std::string, std::size_t> &counts() const { return Counts; }
 
@@ -28,7 +31,7 @@
   static const std::vector<Kind> &kinds();
 
   const Kind &draw();
-  Task<> track(Task<> Work);
+  Task<> track(std::string Name, Task<> Work);
   Task<> runOne(const Kind &What);
   Milliseconds between(Milliseconds Least, Milliseconds Most);
   //! A host or server that no other fault has chosen; null if there is none.
@@ -62,7 +65,7 @@
   PacketSite &Site;
   PacketTraffic &Traffic;
   std::map<std::string, std::size_t> Counts;
-  unsigned Active = 0;
+  std::map<std::string, unsigned> Active; //!< Not yet ended, by kind.
 };
 
 } // namespace buckthorndeck::faults
--- a/packages/faults/src/buckthorndeck/faults/Soak.cpp
+++ b/packages/faults/src/buckthorndeck/faults/Soak.cpp
@@ -35,6 +35,8 @@
     spawn(Where, "promises", check());
     co_await sleepFor(QuietTime);
     co_await Faults.run(Options.Length, maxPause());
+    if (!Faults.unfinished().empty())
+      Promises.report("end of faults", "not ended:" + Faults.unfinished());
     co_await recover();
     co_await Traffic.stop();
     Ended = true;
