A host that starts asks a peer beside the store

Cause: a host that restarts in a failure domain that is cut off asked a peer only after its first call to the store had timed out (0.8 s), and hosts that all start at once each read the whole registry although others already hold it.

Tests that failed first: a silent store (loaded only after the call's timeout) and a slow store of 100 pages (all were read).

--- a/packages/forwarding/src/buckthorndeck/forwarding/RegistryFeed.cpp
+++ b/packages/forwarding/src/buckthorndeck/forwarding/RegistryFeed.cpp
@@ -5,6 +5,7 @@
 #include "buckthorndeck/net/HttpClient.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace buckthorndeck::forwarding {
 
@@ -22,6 +23,10 @@
 constexpr std::size_t MaxLoggedChanges = 20;
 //! A peer of the own failure domain answers within milliseconds.
 constexpr Milliseconds PeerTimeout{500};
+//! The store answers within tens of ms. A host that starts asks a peer as well
+//! if it has not, while packets still wait in the socket.
+constexpr Milliseconds PeerDelay{120};
+
 void logLost(const Error &Failure, unsigned Failures, TimePoint AnsweredAt) {
   const auto Age =
       std::chrono::duration_cast<Milliseconds>(Clock::now() - AnsweredAt);
@@ -72,12 +77,13 @@
 
 } // namespace
 
-RegistryFeed::RegistryFeed(Executor Where, const RegistryFeedOptions &Options,
+RegistryFeed::RegistryFeed(const Executor &Where,
+                           const RegistryFeedOptions &Options,
                            RegistrySource Source, Forwarder &Target,
                            PeerDirectory &Peers)
     : Options(Options), Source(std::move(Source)), Target(Target), Peers(Peers),
-      Wake(std::make_shared<Notifier>(Where)),
-      LoadedOrStopped(std::make_shared<Notifier>(std::move(Where))),
+      Where(Where), Wake(std::make_shared<Notifier>(Where)),
+      LoadedOrStopped(std::make_shared<Notifier>(Where)),
       Random(Options.RandomSeed) {}
 
 void RegistryFeed::stop() {
@@ -186,12 +192,14 @@
 }
 
 Task<bool> RegistryFeed::readServers() {
+  const bool Starting = !Loaded;
   std::vector<std::string> Present;
   std::optional<StoreRevision> First;
   std::string From;
   while (true) {
     Expected<RegistryPage> Page = co_await readPage(From);
-    if (!Page)
+    // A peer was faster; a watch brings what has changed since.
+    if (!Page || (Starting && Loaded))
       co_return false;
     // Pages are not a snapshot: changes after the first may be missing.
     if (!First)
@@ -244,14 +252,27 @@
     logPeerRefused(*Chosen, Changes.error());
     co_return false;
   }
-  if (Changes->AsOf < Position || Changes->Routes->Version == ConfigVersion())
+  // The store may have answered meanwhile.
+  if (Loaded || Changes->AsOf < Position ||
+      Changes->Routes->Version == ConfigVersion())
     co_return false;
   Position = Changes->AsOf;
   apply(*Changes);
+  LoadedFromPeer = true;
   markLoaded(Chosen->Name.value());
   co_return true;
 }
 
+//! Asks peers until they or the store have answered.
+Task<> RegistryFeed::askPeers() {
+  co_await sleepFor(PeerDelay);
+  while (!Loaded && !Stopped) {
+    const bool Complete = co_await loadFromPeer();
+    if (!Complete && !Loaded)
+      co_await pause(config::backoffDelay(Options.Backoff, 0, Random));
+  }
+}
+
 //! Watches until the history is lost.
 Task<> RegistryFeed::follow() {
   while (!Stopped) {
@@ -277,11 +298,12 @@
 }
 
 Task<> RegistryFeed::run() {
+  spawn(Where, "ask_peers", askPeers());
   while (!Stopped) {
-    bool Complete = co_await load();
-    if (!Complete && !Loaded)
-      Complete = co_await loadFromPeer();
-    if (Complete)
+    bool Complete = LoadedFromPeer;
+    if (!Complete)
+      Complete = co_await load();
+    if (std::exchange(LoadedFromPeer, false) || Complete)
       co_await follow();
     else
       co_await pause(config::backoffDelay(
--- a/packages/forwarding/src/buckthorndeck/forwarding/RegistryFeed.h
+++ b/packages/forwarding/src/buckthorndeck/forwarding/RegistryFeed.h
@@ -29,7 +29,7 @@
 //! Keeps a Forwarder up to date with the platform's store.
 class RegistryFeed {
 public:
-  RegistryFeed(Executor Where, const RegistryFeedOptions &Options,
+  RegistryFeed(const Executor &Where, const RegistryFeedOptions &Options,
                RegistrySource Source, Forwarder &Target, PeerDirectory &Peers);
 
   //! Runs until stop().
@@ -53,6 +53,7 @@
 private:
   Task<bool> load();
   Task<bool> loadFromPeer();
+  Task<> askPeers();
   Task<bool> readRoutes();
   Task<bool> readServers();
   Task<Expected<RegistryPage>> readPage(std::string From);
@@ -66,6 +67,7 @@
   RegistrySource Source;
   Forwarder &Target;
   PeerDirectory &Peers;
+  Executor Where;
   std::shared_ptr<Notifier> Wake;
   std::shared_ptr<Notifier> LoadedOrStopped;
   RandomEngine Random;
@@ -75,6 +77,7 @@
   std::uint64_t Calls = 0;
   unsigned Failures = 0; //!< In a row.
   bool Loaded = false;
+  bool LoadedFromPeer = false; //!< And run() has not noticed yet.
   bool Stopped = false;
 };
 
--- a/packages/forwarding/tests/RegistryFeedTests.cpp
+++ b/packages/forwarding/tests/RegistryFeedTests.cpp
@@ -45,6 +45,8 @@
   }
 
   bool Down = false;
+  bool Silent = false; //!< Calls wait.
+  Milliseconds PageDelay{0};
   std::optional<RouteSet> Routes = makeRoutes(1);
   std::vector<ServerChange> Entries;
   StoreRevision Revision{5};
@@ -60,6 +62,10 @@
     Loads += From.empty() ? 1 : 0;
     ++PageReads;
     Changed.notifyAll();
+    while (Silent)
+      co_await Changed.wait();
+    if (PageDelay.count() > 0)
+      co_await sleepFor(PageDelay);
     if (Down)
       co_return Unexpected(makeError(ErrorCode::Unavailable));
     if (FailedPageRead == PageReads)
@@ -251,34 +257,85 @@
   CHECK(Site.Host.servers().size() == 3);
 }
 
+namespace {
+
+//! A peer whose snapshot has the configuration version 8 and server 4.
+class Donor {
+public:
+  explicit Donor(const Executor &Where)
+      : Server(*HttpServer::bind(Where, loopbackTcp())) {
+    FeedFixture Site;
+    Site.Host.applyRoutes(makeRoutes(8));
+    Site.Host.updateServer(makeServer(4), StoreRevision(40), Start);
+    Body = toText(Site.Feed.snapshot());
+    spawn(Where, "donor",
+          Server.serve([this](HttpRequest) { return answer(); }));
+  }
+
+  PeerHeartbeat heartbeat() const {
+    return {.Sender = {.Name = EntryHostName("donor"),
+                       .Domain = FailureDomainName("north"),
+                       .Snapshot = Server.localEndpoint()}};
+  }
+
+private:
+  Task<std::optional<HttpResponse>> answer() {
+    HttpResponse Answer;
+    Answer.Body = Body;
+    co_return Answer;
+  }
+
+  HttpServer Server;
+  std::string Body;
+};
+
+} // namespace
+
+TEST_CASE("A host whose store does not answer asks a peer without waiting for "
+          "the call's timeout",
+          "[feed]") {
+  // A host that restarted in a failure domain that was cut off served only
+  // after the timeout of its first call.
+  FeedFixture Site;
+  Site.Store.Silent = true;
+  const Donor Peer(Site.Context.get_executor());
+  Site.Peers.update(Peer.heartbeat(), Clock::now());
+  Site.start();
+  runTask(Site.Context, Site.Feed.waitLoaded());
+  CHECK(Site.Host.routes().version() == ConfigVersion(8));
+  CHECK(Site.Store.Loads == 1);
+  CHECK(Site.Store.Watches.empty());
+}
+
+TEST_CASE("A host that a peer has helped to start reads no further pages",
+          "[feed]") {
+  // All hosts of a large deployment read the whole registry at once.
+  FeedFixture Site;
+  for (unsigned Number = 1; Number < 100; ++Number)
+    Site.Store.Entries.push_back(entryOf(Number, 3));
+  Site.Store.PageDelay = Milliseconds(50);
+  const Donor Peer(Site.Context.get_executor());
+  Site.Peers.update(Peer.heartbeat(), Clock::now());
+  Site.start();
+  runTask(Site.Context, Site.Store.waitWatches(1));
+  CHECK(Site.Feed.loaded());
+  CHECK(Site.Store.PageReads < 100);
+  CHECK(Site.Host.servers().find(tokenOf(makeServer(4))) != nullptr);
+}
+
 TEST_CASE("A host that cannot read the store serves from a peer's snapshot",
           "[feed]") {
   // Two of three hosts of a failure domain restarted while it was cut off.
-  FeedFixture Donor;
-  Donor.Host.applyRoutes(makeRoutes(8));
-  Donor.Host.updateServer(makeServer(4), StoreRevision(40), Start);
-
   FeedFixture Site;
   Site.Store.Down = true;
-  auto Bound = HttpServer::bind(Site.Context.get_executor(), loopbackTcp());
-  REQUIRE(Bound);
-  const std::string Body(toText(Donor.Feed.snapshot()));
-  spawn(Site.Context.get_executor(), "donor",
-        Bound->serve([Body](HttpRequest) -> Task<std::optional<HttpResponse>> {
-          HttpResponse Answer;
-          Answer.Body = Body;
-          co_return Answer;
-        }));
+  const Donor Peer(Site.Context.get_executor());
   Site.start();
   runTask(Site.Context, [](FeedFixture &Fixture) -> Task<> {
     while (Fixture.Store.Loads < 2)
       co_await sleepFor(Milliseconds(1));
   }(Site));
   CHECK_FALSE(Site.Feed.loaded());
-  Site.Peers.update({.Sender = {.Name = EntryHostName("donor"),
-                                .Domain = FailureDomainName("north"),
-                                .Snapshot = Bound->localEndpoint()}},
-                    Clock::now());
+  Site.Peers.update(Peer.heartbeat(), Clock::now());
   Site.Feed.peerHeard();
   runTask(Site.Context, Site.Feed.waitLoaded());
   CHECK(Site.Host.routes().version() == ConfigVersion(8));
