--- a/packages/faults/src/buckthorndeck/faults/PacketFaults.cpp
+++ b/packages/faults/src/buckthorndeck/faults/PacketFaults.cpp
@@ -33,6 +33,18 @@
   bool &Busy;
 };
 
+//! Raises a count for the length of a scope.
+class CountedScope {
+public:
+  explicit CountedScope(unsigned &Count) : Count(Count) { ++Count; }
+  CountedScope(const CountedScope &) = delete;
+  CountedScope &operator=(const CountedScope &) = delete;
+  ~CountedScope() { --Count; }
+
+private:
+  unsigned &Count;
+};
+
 //! How often a group of kinds is drawn. Planned work is frequent, since all
 //! promises hold for it; dense faults would leave nothing calm to check.
 enum Weight : unsigned {
@@ -362,29 +374,35 @@
 
 std::string PacketFaults::unfinished() const {
   std::string Names;
-  for (const auto &[Name, Count] : Active)
-    if (Count > 0)
-      Names += " " + Name;
+  for (const auto *Counts : {&Active, &Incomplete})
+    for (const auto &[Name, Count] : *Counts)
+      if (Count > 0)
+        Names += " " + Name;
   return Names;
 }
 
+bool PacketFaults::running() const {
+  return std::ranges::any_of(
+      Active, [](const auto &Entry) { return Entry.second > 0; });
+}
+
 //! Lets run() wait for work that goes on beside others.
 Task<> PacketFaults::track(std::string Name, Task<> Work) {
   const Disturbance Harm(Site.state());
-  ++Active[Name];
+  const CountedScope Running(Active[Name]);
   co_await std::move(Work);
-  --Active[Name];
 }
 
 Task<> PacketFaults::runOne(const Kind &What) {
-  ++Active[What.Name];
+  const CountedScope Running(Active[What.Name]);
   ++Counts[What.Name];
   // Work that harms nothing must not be noticed.
   std::optional<Disturbance> Harm;
   if (What.Weight != Planned)
     Harm.emplace(Site.state());
+  ++Incomplete[What.Name];
   co_await (this->*What.Run)();
-  --Active[What.Name];
+  --Incomplete[What.Name];
 }
 
 Task<> PacketFaults::run(Milliseconds Length, Milliseconds MaxPause) {
@@ -395,7 +413,7 @@
     co_await sleepFor(between(Milliseconds(0), MaxPause));
   }
   const TimePoint Due = Clock::now() + EndLimit;
-  while (!unfinished().empty() && Clock::now() < Due)
+  while (running() && Clock::now() < Due)
     co_await sleepFor(PollInterval);
 }
 
--- a/packages/faults/src/buckthorndeck/faults/PacketFaults.h
+++ b/packages/faults/src/buckthorndeck/faults/PacketFaults.h
@@ -20,8 +20,8 @@
 
   //! Begins faults for Length, and returns once all have ended.
   Task<> run(Milliseconds Length, Milliseconds MaxPause);
-  //! Kinds that have not ended, as text; empty once run() has returned, unless
-  //! something hangs.
+  //! Kinds that have not completed, as text; empty once run() has returned,
+  //! unless something hangs or has failed.
   std::string unfinished() const;
   //! How many of each kind have begun.
   const std::map<std::string, std::size_t> &counts() const { return Counts; }
@@ -30,6 +30,7 @@
   struct Kind;
   static const std::vector<Kind> &kinds();
 
+  bool running() const;
   const Kind &draw();
   Task<> track(std::string Name, Task<> Work);
   Task<> runOne(const Kind &What);
@@ -65,7 +66,9 @@
   PacketSite &Site;
   PacketTraffic &Traffic;
   std::map<std::string, std::size_t> Counts;
-  std::map<std::string, unsigned> Active; //!< Not yet ended, by kind.
+  std::map<std::string, unsigned> Active; //!< Running now, by kind.
+  //! Begun and not completed: running, or ended by an exception.
+  std::map<std::string, unsigned> Incomplete;
 };
 
 } // namespace buckthorndeck::faults
--- a/packages/faults/src/buckthorndeck/faults/PacketSite.cpp
+++ b/packages/faults/src/buckthorndeck/faults/PacketSite.cpp
@@ -32,6 +32,13 @@
 //! Addresses of hosts differ, since callers' packets arrive at one port.
 address_v4 hostIp(unsigned Number) { return address_v4(0x7f010001U + Number); }
 
+//! Apart from 127.0.0.1, from whose ports connections are made: one of them
+//! could hold the port of a server that has ended when its address is reused.
+address_v4 serverIp(std::uint64_t Number) {
+  constexpr std::uint32_t First = 0x7f020001;
+  return address_v4(First + static_cast<std::uint32_t>(Number));
+}
+
 template <typename T> T orThrow(Expected<T> Result) {
   if (!Result)
     throw std::runtime_error(describe(Result.error()));
@@ -185,7 +192,7 @@
       .Id = ServerId(Id),
       .Born = Incarnation(1'700'000'000'000 + NextServer),
       .Service = ServiceName(Service),
-      .Address = Address.value_or(UdpEndpoint(address_v4::loopback(), 0)),
+      .Address = Address.value_or(UdpEndpoint(serverIp(NextServer), 0)),
       .Domain = Domains[NextServer / 2 % Domains.size()],
       .Slots = SlotsPerServer};
   standins::FlowServerOptions Wanted{.Record = std::move(Record),
@@ -194,9 +201,9 @@
                                      .NameHeader = "Instance-Id",
                                      .RandomSeed = Options.Seed + NextServer};
   ++NextServer;
+  auto Process = orThrow(standins::FlowServer::start(Where, std::move(Wanted)));
   PacketSiteServer &Server = Servers.emplace_back();
-  Server.Process =
-      orThrow(standins::FlowServer::start(Where, std::move(Wanted)));
+  Server.Process = std::move(Process);
   Store->announce(Server.Process->record());
   return Server;
 }
--- a/packages/faults/src/buckthorndeck/faults/Soak.cpp
+++ b/packages/faults/src/buckthorndeck/faults/Soak.cpp
@@ -36,7 +36,7 @@
     co_await sleepFor(QuietTime);
     co_await Faults.run(Options.Length, maxPause());
     if (!Faults.unfinished().empty())
-      Promises.report("end of faults", "not ended:" + Faults.unfinished());
+      Promises.report("end of faults", "not completed:" + Faults.unfinished());
     co_await recover();
     co_await Traffic.stop();
     Ended = true;
