--- a/packages/faults/src/buckthorndeck/faults/PacketFaults.cpp
+++ b/packages/faults/src/buckthorndeck/faults/PacketFaults.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <optional>
+#include <stdexcept>
 
 namespace buckthorndeck::faults {
 
@@ -21,10 +22,15 @@
 //! Servers of one service that must stay for others to be taken away.
 constexpr std::size_t MinServers = 2;
 
-//! Marks something as chosen by a fault for the length of a scope.
+//! Marks something as chosen by a fault for the length of a scope. Two faults
+//! that start or end the same process would destroy it under each other.
 class Choice {
 public:
-  explicit Choice(bool &Busy) : Busy(Busy) { Busy = true; }
+  explicit Choice(bool &Chosen) : Busy(Chosen) {
+    if (Busy)
+      throw std::logic_error("chosen by two faults");
+    Busy = true;
+  }
   Choice(const Choice &) = delete;
   Choice &operator=(const Choice &) = delete;
   ~Choice() { Busy = false; }
@@ -172,19 +178,21 @@
   co_return;
 }
 
+Task<> PacketFaults::restartHost(PacketSiteHost &Host) {
+  const Choice Chosen(Host.Busy);
+  Host.Process->terminate();
+  const int Code = co_await Host.Process->exited();
+  if (Code != 0)
+    ++Counts["exit code " + std::to_string(Code) + " of a planned stop"];
+  Site.startHost(Host);
+  co_await Site.waitReady(Long);
+}
+
 //! Planned work: no promise is suspended for it.
 Task<> PacketFaults::restartHostsInTurn() {
-  for (PacketSiteHost &Host : Site.hosts()) {
-    if (Host.Busy || !Host.Process)
-      continue;
-    const Choice Chosen(Host.Busy);
-    Host.Process->terminate();
-    const int Code = co_await Host.Process->exited();
-    if (Code != 0)
-      ++Counts["exit code " + std::to_string(Code) + " of a planned stop"];
-    Site.startHost(Host);
-    co_await Site.waitReady(Long);
-  }
+  for (PacketSiteHost &Host : Site.hosts())
+    if (!Host.Busy && Host.Process)
+      co_await restartHost(Host);
 }
 
 Task<> PacketFaults::refuseStore() {
--- a/packages/faults/src/buckthorndeck/faults/PacketFaults.h
+++ b/packages/faults/src/buckthorndeck/faults/PacketFaults.h
@@ -40,6 +40,8 @@
   PacketSiteServer *chooseServer();
   Task<> killHost(PacketSiteHost &Host);
 
+  Task<> restartHost(PacketSiteHost &Host);
+
   Task<> freezeOneHost();
   Task<> killOneHost();
   Task<> killAllHosts();
--- a/packages/faults/src/buckthorndeck/faults/PacketTraffic.cpp
+++ b/packages/faults/src/buckthorndeck/faults/PacketTraffic.cpp
@@ -79,7 +79,7 @@
     Record.Result = co_await Caller->call(Who.Flow, Request, Options.Budget);
   Record.EndedAt = Clock::now();
   const FlowOutcome Outcome = Record.Result.Outcome;
-  Calls.push_back(std::move(Record));
+  Calls.push_back(Record);
   if (Outcome == FlowOutcome::NotOpened)
     co_return Outcome;
   ++Who.Used;
--- a/packages/forwarding/fuzz/snapshot.cpp
+++ b/packages/forwarding/fuzz/snapshot.cpp
@@ -1,5 +1,5 @@
 #include "buckthorndeck/forwarding/Snapshot.h"
-#include "Check.h"
+#include "../../base/fuzz/Check.h"
 
 using namespace buckthorndeck;
 using namespace buckthorndeck::forwarding;
--- a/packages/forwarding/fuzz/write-inputs.cpp
+++ b/packages/forwarding/fuzz/write-inputs.cpp
@@ -1,7 +1,7 @@
 // Writes one valid message of each type, for the fuzz targets to mutate:
 // write-forwarding-inputs DIRECTORY
 
-#include "InputFiles.h"
+#include "../../base/fuzz/InputFiles.h"
 #include "buckthorndeck/forwarding/Peers.h"
 #include "buckthorndeck/forwarding/Snapshot.h"
 
--- a/packages/wire/fuzz/datagram.cpp
+++ b/packages/wire/fuzz/datagram.cpp
@@ -1,5 +1,5 @@
 #include "buckthorndeck/wire/Datagram.h"
-#include "Check.h"
+#include "../../base/fuzz/Check.h"
 
 using namespace buckthorndeck;
 using namespace buckthorndeck::wire;
--- a/packages/wire/fuzz/envelope.cpp
+++ b/packages/wire/fuzz/envelope.cpp
@@ -1,6 +1,6 @@
 #include "buckthorndeck/wire/Envelope.h"
 
-#include "Check.h"
+#include "../../base/fuzz/Check.h"
 
 using namespace buckthorndeck;
 using namespace buckthorndeck::wire;
--- a/packages/wire/fuzz/relay.cpp
+++ b/packages/wire/fuzz/relay.cpp
@@ -1,6 +1,6 @@
 #include "buckthorndeck/wire/Relay.h"
 
-#include "Check.h"
+#include "../../base/fuzz/Check.h"
 #include "FuzzKey.h"
 
 using namespace buckthorndeck;
--- a/packages/wire/fuzz/server-message.cpp
+++ b/packages/wire/fuzz/server-message.cpp
@@ -1,4 +1,4 @@
-#include "Check.h"
+#include "../../base/fuzz/Check.h"
 #include "buckthorndeck/wire/ServerMessage.h"
 
 using namespace buckthorndeck;
--- a/packages/wire/fuzz/write-inputs.cpp
+++ b/packages/wire/fuzz/write-inputs.cpp
@@ -1,9 +1,9 @@
 // Writes one valid message of each type, for the fuzz targets to mutate:
 // write-wire-inputs DIRECTORY
 
+#include "../../base/fuzz/InputFiles.h"
 #include "../tests/Samples.h"
 #include "FuzzKey.h"
-#include "InputFiles.h"
 #include "buckthorndeck/wire/Relay.h"
 #include "buckthorndeck/wire/Token.h"
 
