--- a/packages/faults/src/buckthorndeck/faults/PacketFaults.cpp
+++ b/packages/faults/src/buckthorndeck/faults/PacketFaults.cpp
@@ -404,7 +404,7 @@
 Task<> PacketFaults::runOne(const Kind &What) {
   const CountedScope Running(Active[What.Name]);
   ++Counts[What.Name];
-  // Work that harms nothing must not be noticed.
+  // Callers must not notice planned work.
   std::optional<Disturbance> Harm;
   if (What.Weight != Planned)
     Harm.emplace(Site.state());
--- a/packages/faults/src/buckthorndeck/faults/PacketSite.h
+++ b/packages/faults/src/buckthorndeck/faults/PacketSite.h
@@ -20,12 +20,12 @@
 namespace buckthorndeck::faults {
 
 /**
- * When something was last harmed from outside. Bounds in time hold only for
+ * When a fault last affected something. Bounds in time hold only for
  * what has been calm for a while.
  */
 class Calm {
 public:
-  //! Harmed from now on until end() was called as often.
+  //! A fault lasts from now on until end() was called as often.
   void begin() { ++Active; }
   void end() {
     --Active;
@@ -41,7 +41,7 @@
   TimePoint EndedAt{};
 };
 
-//! Harms something for the length of a scope.
+//! A fault of something for the length of a scope.
 class Disturbance {
 public:
   explicit Disturbance(Calm &Target) : Target(Target) { Target.begin(); }
@@ -73,7 +73,7 @@
   Calm State;
   std::uint64_t Lifetime = 0; //!< Raised at each start.
   bool Busy = false;          //!< Some fault stops or restarts it.
-  bool StoreCut = false;      //!< Some fault harms its link to the store.
+  bool StoreCut = false;      //!< Some fault affects its link to the store.
 };
 
 //! One backend server, also after its end.
@@ -124,7 +124,7 @@
   const std::vector<PublishedRoutes> &versions() const { return Versions; }
   platform::RegistryStore &store() { return *Store; }
   Calm &storeState() { return StoreState; }
-  //! Of all that can be harmed.
+  //! Of the whole site: calm while nothing has a fault.
   Calm &state() { return State; }
   const standins::PacketRouter &router() const { return *Router; }
   RandomEngine &random() { return Random; }
--- a/packages/standins/src/buckthorndeck/standins/TcpProxy.h
+++ b/packages/standins/src/buckthorndeck/standins/TcpProxy.h
@@ -18,7 +18,7 @@
 };
 
 /**
- * Relays connections to one server and harms them.
+ * Relays connections to one server and injects faults.
  *
  * Held bytes arrive when the fault ends, like those of a link that was cut.
  */
