--- a/packages/forwarding/src/buckthorndeck/forwarding/Forwarder.cpp
+++ b/packages/forwarding/src/buckthorndeck/forwarding/Forwarder.cpp
@@ -317,14 +317,18 @@
        {"progress_age_ms", ageMs(Target.ProgressAt, Now)},
        {"server_revision", Target.Revision.value()}});
   Target.State = Reachability::Doubted;
+  startCheck(Target);
+}
+
+void Forwarder::startCheck(Server &Target) {
   Target.Checking = true;
   Work.Checks.push_back(Target.Token);
   ++Counters.Checks;
 }
 
-const Server *Forwarder::controlFor(ServerToken Checked) {
-  const Server *Control = nullptr;
-  Servers.forEach([&](const Server &Known) {
+Server *Forwarder::controlFor(ServerToken Checked) {
+  Server *Control = nullptr;
+  Servers.forEach([&](Server &Known) {
     if (Known.Token == Checked || !Known.Registered ||
         Known.State != Reachability::Reachable)
       return;
@@ -580,21 +584,16 @@
 void Forwarder::checkDue(TimePoint Now) {
   // A host that takes no packets learns only by checks that it can serve again.
   if (isolated(Now))
-    if (const Server *Any = controlFor(ServerToken()))
-      doubt(*Servers.find(Any->Token), "isolated", Now);
+    if (Server *Any = controlFor(ServerToken()))
+      doubt(*Any, "isolated", Now);
   std::erase_if(FailedServers, [&](ServerToken Token) {
     Server *Target = Servers.find(Token);
     if (!Target || Target->State == Reachability::Reachable)
       return true;
-    if (Target->Checking || Now < Target->NextCheckAt ||
-        Target->LastCheck == CheckOutcome::Replaced)
-      return false;
     // Without an entry nobody is sent there any more.
-    if (!Target->Registered)
-      return false;
-    Target->Checking = true;
-    Work.Checks.push_back(Token);
-    ++Counters.Checks;
+    if (!Target->Checking && Now >= Target->NextCheckAt &&
+        Target->LastCheck != CheckOutcome::Replaced && Target->Registered)
+      startCheck(*Target);
     return false;
   });
 }
--- a/packages/forwarding/src/buckthorndeck/forwarding/Forwarder.h
+++ b/packages/forwarding/src/buckthorndeck/forwarding/Forwarder.h
@@ -120,7 +120,7 @@
   std::optional<std::string> identityPath(ServerToken Token);
   //! A server whose answer shows that this host can reach servers at all; null
   //! if there is none besides Checked. Prefers the own failure domain.
-  const Server *controlFor(ServerToken Checked);
+  Server *controlFor(ServerToken Checked);
 
   //! Does what is due and returns what needs a socket.
   ForwarderWork takeWork(TimePoint Now);
@@ -171,6 +171,7 @@
   void eraseFlow(const FlowKey &Key);
   void hedgeOpen(const FlowKey &Key, TimePoint Now);
   void doubt(Server &Target, const char *Cause, TimePoint Now);
+  void startCheck(Server &Target);
   void recordRemoval(Server &Target, const char *Cause, TimePoint Now);
   void addEvidence(Server &Target, unsigned Points, TimePoint Now);
   void markUnhealthy(Server &Target, CheckOutcome Outcome, TimePoint Now);
--- a/packages/forwarding/src/buckthorndeck/forwarding/Peers.cpp
+++ b/packages/forwarding/src/buckthorndeck/forwarding/Peers.cpp
@@ -1,6 +1,7 @@
 #include "buckthorndeck/forwarding/Peers.h"
 
 #include "buckthorndeck/base/FieldReader.h"
+#include "buckthorndeck/forwarding/Limits.h"
 
 #include <algorithm>
 
@@ -8,7 +9,6 @@
 
 namespace {
 
-constexpr std::size_t MaxNameBytes = 200;
 constexpr std::size_t MaxAddressBytes = 21;
 //! Peers named in a heartbeat, which keeps it below 1 KB.
 constexpr std::size_t MaxOthers = 4;
--- a/packages/forwarding/src/buckthorndeck/forwarding/Snapshot.cpp
+++ b/packages/forwarding/src/buckthorndeck/forwarding/Snapshot.cpp
@@ -1,6 +1,7 @@
 #include "buckthorndeck/forwarding/Snapshot.h"
 
 #include "buckthorndeck/base/FieldReader.h"
+#include "buckthorndeck/forwarding/Limits.h"
 
 #include <boost/asio/ip/address_v4.hpp>
 
@@ -9,12 +10,7 @@
 namespace {
 
 constexpr const char *Step = "read snapshot";
-constexpr std::size_t MaxNameBytes = 200;
 constexpr std::size_t MaxServers = 100'000;
-constexpr std::size_t MaxRoutes = 100'000;
-constexpr std::uint64_t MaxSlots = 1'000'000;
-constexpr std::uint64_t MaxWeight = 1'000'000;
-constexpr std::uint64_t MaxMilliseconds = 86'400'000;
 
 Json encodeServer(const Server &Known) {
   const ServerRecord &Record = Known.Record;
