Names of the platform out of the soak; one parser of HTTP calls; less code in faults

The soak spelled keys, an entry and a header of the platform: the store stand-in writes and withdraws entries now, and the header's name stands once, in platform/StoreCalls.h. Both store stand-ins had their own parser of targets and queries. Four faults of the store differed in one field each; two ways of running a fault are one. What ran besides a fault (cuts, kills) is now reported as well if it does not complete. Fields and functions that nothing read are gone.

--- a/packages/faults/src/buckthorndeck/faults/PacketFaults.cpp
+++ b/packages/faults/src/buckthorndeck/faults/PacketFaults.cpp
@@ -1,7 +1,6 @@
 #include "buckthorndeck/faults/PacketFaults.h"
 
 #include <algorithm>
-#include <optional>
 #include <stdexcept>
 
 namespace buckthorndeck::faults {
@@ -195,41 +194,37 @@
       co_await restartHost(Host);
 }
 
-Task<> PacketFaults::refuseStore() {
+Task<> PacketFaults::disturbStore(platform::StoreFaults Faults,
+                                  Milliseconds Time) {
   const Disturbance Harm(Site.storeState());
+  Site.store().setFaults(Faults);
+  co_await sleepFor(Time);
+  Site.store().setFaults({});
+}
+
+Task<> PacketFaults::refuseStore() {
   platform::StoreFaults Faults;
   Faults.Down = true;
-  Site.store().setFaults(Faults);
   Site.store().cutWatches();
-  co_await sleepFor(between(Short, Long * 2));
-  Site.store().setFaults({});
+  co_await disturbStore(Faults, between(Short, Long * 2));
 }
 
 Task<> PacketFaults::silenceStore() {
-  const Disturbance Harm(Site.storeState());
   platform::StoreFaults Faults;
   Faults.Silent = true;
-  Site.store().setFaults(Faults);
-  co_await sleepFor(between(Short, Long * 2));
-  Site.store().setFaults({});
+  co_await disturbStore(Faults, between(Short, Long * 2));
 }
 
 Task<> PacketFaults::slowStore() {
-  const Disturbance Harm(Site.storeState());
   platform::StoreFaults Faults;
   Faults.Delay = between(Short / 2, Short * 3);
-  Site.store().setFaults(Faults);
-  co_await sleepFor(between(Short, Long));
-  Site.store().setFaults({});
+  co_await disturbStore(Faults, between(Short, Long));
 }
 
 Task<> PacketFaults::loseStoreAnswers() {
-  const Disturbance Harm(Site.storeState());
   platform::StoreFaults Faults;
   Faults.LostAnswers = 0.3;
-  Site.store().setFaults(Faults);
-  co_await sleepFor(between(Short, Long));
-  Site.store().setFaults({});
+  co_await disturbStore(Faults, between(Short, Long));
 }
 
 Task<> PacketFaults::forgetHistory() {
@@ -282,15 +277,13 @@
     co_return;
   const Choice Chosen(Server->Busy);
   const Disturbance Harm(Server->State);
-  Site.store().remove("servers/" + Server->Process->record().Name);
+  Site.store().withdraw(Server->Process->record().Name);
   co_await sleepFor(between(Short, Long));
   Site.store().announce(Server->Process->record());
 }
 
 Task<> PacketFaults::writeForeignEntries() {
-  Site.store().put("servers/i-00", "not JSON");
-  Site.store().put("servers/i-01", R"({"Service": 5, "State": "ready"})");
-  Site.store().put("other/key", "anything");
+  Site.store().writeForeignEntries();
   co_return;
 }
 
@@ -382,46 +375,41 @@
 
 std::string PacketFaults::unfinished() const {
   std::string Names;
-  for (const auto *Counts : {&Active, &Incomplete})
-    for (const auto &[Name, Count] : *Counts)
-      if (Count > 0)
-        Names += " " + Name;
+  for (const auto &[Name, Count] : Incomplete)
+    if (Count > 0)
+      Names += " " + Name;
   return Names;
 }
 
-bool PacketFaults::running() const {
-  return std::ranges::any_of(
-      Active, [](const auto &Entry) { return Entry.second > 0; });
-}
-
-//! Lets run() wait for work that goes on beside others.
 Task<> PacketFaults::track(std::string Name, Task<> Work) {
   const Disturbance Harm(Site.state());
-  const CountedScope Running(Active[Name]);
+  co_await trackPlanned(std::move(Name), std::move(Work));
+}
+
+Task<> PacketFaults::trackPlanned(std::string Name, Task<> Work) {
+  const CountedScope Running(Active);
+  ++Incomplete[Name];
   co_await std::move(Work);
+  --Incomplete[Name];
 }
 
-Task<> PacketFaults::runOne(const Kind &What) {
-  const CountedScope Running(Active[What.Name]);
+void PacketFaults::begin(const Kind &What) {
   ++Counts[What.Name];
+  Task<> Work = (this->*What.Run)();
   // Callers must not notice planned work.
-  std::optional<Disturbance> Harm;
-  if (What.Weight != Planned)
-    Harm.emplace(Site.state());
-  ++Incomplete[What.Name];
-  co_await (this->*What.Run)();
-  --Incomplete[What.Name];
+  spawn(Site.executor(), What.Name,
+        What.Weight == Planned ? trackPlanned(What.Name, std::move(Work))
+                               : track(What.Name, std::move(Work)));
 }
 
 Task<> PacketFaults::run(Milliseconds Length, Milliseconds MaxPause) {
   const TimePoint End = Clock::now() + Length;
   while (Clock::now() < End) {
-    const Kind &Next = draw();
-    spawn(Site.executor(), Next.Name, runOne(Next));
+    begin(draw());
     co_await sleepFor(between(Milliseconds(0), MaxPause));
   }
   const TimePoint Due = Clock::now() + EndLimit;
-  while (running() && Clock::now() < Due)
+  while (Active > 0 && Clock::now() < Due)
     co_await sleepFor(PollInterval);
 }
 
--- a/packages/faults/src/buckthorndeck/faults/PacketFaults.h
+++ b/packages/faults/src/buckthorndeck/faults/PacketFaults.h
@@ -30,10 +30,12 @@
   struct Kind;
   static const std::vector<Kind> &kinds();
 
-  bool running() const;
   const Kind &draw();
+  void begin(const Kind &What);
+  //! Runs Work as a fault of the site; run() waits for it.
   Task<> track(std::string Name, Task<> Work);
-  Task<> runOne(const Kind &What);
+  //! The same for work that callers must not notice.
+  Task<> trackPlanned(std::string Name, Task<> Work);
   Milliseconds between(Milliseconds Least, Milliseconds Most);
   //! A host or server that no other fault has chosen; null if there is none.
   PacketSiteHost *chooseHost();
@@ -46,6 +48,7 @@
   Task<> killOneHost();
   Task<> killAllHosts();
   Task<> restartHostsInTurn();
+  Task<> disturbStore(platform::StoreFaults Faults, Milliseconds Time);
   Task<> refuseStore();
   Task<> silenceStore();
   Task<> slowStore();
@@ -68,7 +71,7 @@
   PacketSite &Site;
   PacketTraffic &Traffic;
   std::map<std::string, std::size_t> Counts;
-  std::map<std::string, unsigned> Active; //!< Running now, by kind.
+  unsigned Active = 0; //!< Running now.
   //! Begun and not completed: running, or ended by an exception.
   std::map<std::string, unsigned> Incomplete;
 };
--- a/packages/faults/src/buckthorndeck/faults/PacketSite.cpp
+++ b/packages/faults/src/buckthorndeck/faults/PacketSite.cpp
@@ -1,6 +1,7 @@
 #include "buckthorndeck/faults/PacketSite.h"
 
 #include "buckthorndeck/platform/EndPacketCodec.h"
+#include "buckthorndeck/platform/StoreCalls.h"
 
 #include <algorithm>
 #include <boost/asio/ip/address_v4.hpp>
@@ -20,7 +21,7 @@
 
 namespace {
 
-constexpr const char *ReadyPath = "/v1/readiness";
+constexpr const char *ReadyPath = "/ready";
 constexpr Milliseconds StartLimit{10'000};
 constexpr Milliseconds PollInterval{20};
 constexpr std::uint32_t SlotsPerServer = 4;
@@ -195,11 +196,12 @@
       .Address = Address.value_or(UdpEndpoint(serverIp(NextServer), 0)),
       .Domain = Domains[NextServer / 2 % Domains.size()],
       .Slots = SlotsPerServer};
-  standins::FlowServerOptions Wanted{.Record = std::move(Record),
-                                     .Format = platform::endPacketFormat(),
-                                     .CallerPort = CallerAddress.port(),
-                                     .NameHeader = "Instance-Id",
-                                     .RandomSeed = Options.Seed + NextServer};
+  standins::FlowServerOptions Wanted{
+      .Record = std::move(Record),
+      .Format = platform::endPacketFormat(),
+      .CallerPort = CallerAddress.port(),
+      .NameHeader = std::string(platform::ServerNameHeader),
+      .RandomSeed = Options.Seed + NextServer};
   ++NextServer;
   auto Process = orThrow(standins::FlowServer::start(Where, std::move(Wanted)));
   PacketSiteServer &Server = Servers.emplace_back();
@@ -209,7 +211,7 @@
 }
 
 void PacketSite::unregister(PacketSiteServer &Server) {
-  Store->remove("servers/" + Server.Process->record().Name);
+  Store->withdraw(Server.Process->record().Name);
   if (!Server.DrainedAt)
     Server.DrainedAt = Clock::now();
 }
--- a/packages/faults/src/buckthorndeck/faults/PacketTraffic.cpp
+++ b/packages/faults/src/buckthorndeck/faults/PacketTraffic.cpp
@@ -77,7 +77,6 @@
   }
   if (Who.Flow)
     Record.Result = co_await Caller->call(Who.Flow, Request, Options.Budget);
-  Record.EndedAt = Clock::now();
   const FlowOutcome Outcome = Record.Result.Outcome;
   Calls.push_back(Record);
   if (Outcome == FlowOutcome::NotOpened)
@@ -102,7 +101,6 @@
   for (unsigned Attempt = 0; Attempt < Attempts; ++Attempt) {
     PacketCall Record;
     Record.Request = Request.Id;
-    Record.Repeatable = Who.Repeatable;
     Record.Service = Service;
     const FlowOutcome Outcome = co_await callOnce(Who, Request, Record);
     if (Outcome == FlowOutcome::Answered ||
--- a/packages/faults/src/buckthorndeck/faults/PacketTraffic.h
+++ b/packages/faults/src/buckthorndeck/faults/PacketTraffic.h
@@ -11,10 +11,8 @@
 //! One attempt of a request as its caller saw it.
 struct PacketCall {
   std::uint64_t Request = 0; //!< The same for each attempt.
-  bool Repeatable = false;
   forwarding::SocketAddress Service;
   standins::FlowResult Result;
-  TimePoint EndedAt;
 };
 
 struct PacketTrafficOptions {
--- a/packages/standins/src/buckthorndeck/standins/FlowCaller.cpp
+++ b/packages/standins/src/buckthorndeck/standins/FlowCaller.cpp
@@ -186,8 +186,6 @@
   return std::unique_ptr<FlowCaller>(new FlowCaller(std::move(Shared)));
 }
 
-UdpEndpoint FlowCaller::endpoint() const { return Shared->Options.Address; }
-
 void FlowCaller::setFaults(const FlowLinkFaults &Faults) {
   Shared->Faults = Faults;
 }
--- a/packages/standins/src/buckthorndeck/standins/FlowCaller.h
+++ b/packages/standins/src/buckthorndeck/standins/FlowCaller.h
@@ -62,7 +62,6 @@
                                                      FlowCallerOptions Options);
   ~FlowCaller();
 
-  UdpEndpoint endpoint() const;
   void setFaults(const FlowLinkFaults &Faults);
 
   //! Sends the first packet and its copies until a server answers; null if
--- a/packages/standins/src/buckthorndeck/standins/Platform.cpp
+++ b/packages/standins/src/buckthorndeck/standins/Platform.cpp
@@ -4,12 +4,10 @@
 #include "buckthorndeck/base/Log.h"
 #include "buckthorndeck/net/HttpServer.h"
 #include "buckthorndeck/net/Notifier.h"
+#include "buckthorndeck/standins/HttpCall.h"
 #include "buckthorndeck/standins/PlatformSettings.h"
 #include "buckthorndeck/standins/internal/RateLimit.h"
 
-#include <boost/url/parse.hpp>
-#include <boost/url/url_view.hpp>
-#include <charconv>
 #include <deque>
 #include <set>
 
@@ -38,42 +36,20 @@
   return respond(Status, {{"error", Message}});
 }
 
-//! A call with its target taken apart.
-struct Call {
-  std::string Method;
-  std::string Path; //!< Decoded.
+struct Call : HttpCall {
   std::string Name; //!< What follows the route's prefix.
-  std::map<std::string, std::string> Query;
-  Json Body; //!< Discarded if it is not JSON.
+  Json Body;        //!< Discarded if it is not JSON.
 };
 
 std::optional<Call> parseCall(const HttpRequest &Request) {
-  const auto Target = boost::urls::parse_origin_form(Request.Target);
+  std::optional<HttpCall> Target = parseHttpCall(Request);
   if (!Target)
     return std::nullopt;
-  Call Result{.Method = Request.Method, .Path = Target->path()};
-  for (const auto &Parameter : Target->params())
-    Result.Query[Parameter.key] = Parameter.value;
+  Call Result{std::move(*Target)};
   Result.Body = Json::parse(Request.Body, nullptr, /*allow_exceptions=*/false);
   return Result;
 }
 
-//! Number under Name in the query, or Default if it is not there. No value if
-//! it is not a number.
-std::optional<std::uint64_t> numberIn(const Call &Received, const char *Name,
-                                      std::uint64_t Default) {
-  const auto Found = Received.Query.find(Name);
-  if (Found == Received.Query.end())
-    return Default;
-  const std::string &Text = Found->second;
-  std::uint64_t Value = 0;
-  const auto [End, Code] =
-      std::from_chars(Text.data(), Text.data() + Text.size(), Value);
-  if (Code != std::errc() || End != Text.data() + Text.size())
-    return std::nullopt;
-  return Value;
-}
-
 struct Version {
   std::string Value;
   std::uint64_t Revision = 0;
@@ -248,9 +224,7 @@
   }
 
   Answer listKeys(const Call &Received) {
-    const auto Found = Received.Query.find("prefix");
-    const std::string Prefix =
-        Found == Received.Query.end() ? "" : Found->second;
+    const std::string Prefix = textIn(Received, "prefix");
     Json Keys = Json::array();
     for (auto Next = Entries.lower_bound(Prefix);
          Next != Entries.end() && Next->first.starts_with(Prefix); ++Next)
