--- a/packages/faults/src/buckthorndeck/faults/Site.cpp
+++ b/packages/faults/src/buckthorndeck/faults/Site.cpp
@@ -165,7 +165,10 @@
                         const std::string &FailureDomain) const {
   const auto Known = KnownAddresses.find(Name);
   const bool Again = Known != KnownAddresses.end();
-  const std::string Any = "127.0.0.1:0";
+  // Connections are made from 127.0.0.1: one of them could hold the port of a
+  // host that is down, if the host had that address as well.
+  const std::string Any =
+      "127.3.0." + std::to_string(KnownAddresses.size() + 1) + ":0";
   Json Seeds = Json::array();
   for (const auto &[Other, Item] : Hosts)
     Seeds.push_back(toString(Item.Addresses.Peers));
--- a/packages/faults/tests/FaultTests.cpp
+++ b/packages/faults/tests/FaultTests.cpp
@@ -4,6 +4,7 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <catch2/catch.hpp>
 
@@ -112,7 +113,14 @@
 
 //! Kills a host and starts it again at the same address.
 Task<> restartHost(Site &Target, Traffic &Callers) {
+  const TcpEndpoint Sync = Target.host("entry-1").Addresses.Sync;
   co_await killHost(Target, Callers);
+  // A connection that was made while the host was down got its port, and the
+  // host could not start again.
+  boost::asio::ip::tcp::socket Holder(Target.executor());
+  Holder.open(boost::asio::ip::tcp::v4());
+  Holder.bind({boost::asio::ip::address_v4::loopback(), Sync.port()});
+  Holder.connect(Target.platform().endpoint());
   co_await Target.addHost("entry-1", "middle");
   Target.sprayOverAll();
 }
