Tests use the harness's event loop, and one way to make a directory

TcpProxyTests and PacketRouterTests ran their own loops without a limit beside World; SoakTests had its own copy of the directory that Site makes.

--- a/packages/faults/src/buckthorndeck/faults/Site.cpp
+++ b/packages/faults/src/buckthorndeck/faults/Site.cpp
@@ -2,12 +2,12 @@
 
 #include "buckthorndeck/config/Publisher.h"
 #include "buckthorndeck/config/StoreClient.h"
+#include "buckthorndeck/faults/TemporaryDirectory.h"
 #include "buckthorndeck/net/WebSocket.h"
 
 #include <array>
 #include <filesystem>
 #include <stdexcept>
-#include <unistd.h>
 
 namespace buckthorndeck::faults {
 
@@ -90,20 +90,11 @@
   return Result;
 }
 
-std::string makeDirectory() {
-  std::string Pattern =
-      (std::filesystem::temp_directory_path() / "buckthorndeck-XXXXXX")
-          .string();
-  if (!::mkdtemp(Pattern.data()))
-    throw std::runtime_error("cannot make a directory in " + Pattern);
-  return Pattern;
-}
-
 } // namespace
 
 Site::Site(Executor Where, SiteOptions Options)
     : Where(std::move(Where)), Options(std::move(Options)),
-      Directory(makeDirectory()), Objects(describeServices()) {}
+      Directory(makeTemporaryDirectory()), Objects(describeServices()) {}
 
 Site::~Site() {
   Hosts.clear();
--- a/packages/faults/tests/SoakTests.cpp
+++ b/packages/faults/tests/SoakTests.cpp
@@ -1,4 +1,5 @@
 #include "buckthorndeck/faults/Soak.h"
+#include "buckthorndeck/faults/TemporaryDirectory.h"
 
 #include <catch2/catch.hpp>
 #include <filesystem>
@@ -8,16 +9,9 @@
 
 namespace {
 
-//! A directory of its own, kept if the test fails.
-std::string makeDirectory() {
-  std::string Pattern =
-      (std::filesystem::temp_directory_path() / "soak-XXXXXX").string();
-  REQUIRE(::mkdtemp(Pattern.data()) != nullptr);
-  return Pattern;
-}
-
 SoakReport runSeed(SoakOptions Options, std::uint64_t Seed) {
-  const std::string Directory = makeDirectory();
+  // Kept if the test fails.
+  const std::string Directory = makeTemporaryDirectory();
   Options.Site.Program = BUCKTHORNDECK_PROGRAM;
   Options.Site.Directory = Directory;
   Options.Site.Seed = Options.Traffic.Seed = Seed;
--- a/packages/standins/tests/Harness.h
+++ b/packages/standins/tests/Harness.h
@@ -76,6 +76,10 @@
   return {boost::asio::ip::address_v4::loopback(), 0};
 }
 
+inline TcpEndpoint anyTcp() {
+  return {boost::asio::ip::address_v4::loopback(), 0};
+}
+
 //! An entry host whose answers a test writes.
 class ScriptedHost {
 public:
--- a/packages/standins/tests/PacketRouterTests.cpp
+++ b/packages/standins/tests/PacketRouterTests.cpp
@@ -1,8 +1,8 @@
 #include "buckthorndeck/standins/PacketRouter.h"
 
+#include "Harness.h"
 #include "buckthorndeck/net/HttpServer.h"
 
-#include <boost/asio/io_context.hpp>
 #include <catch2/catch.hpp>
 #include <deque>
 #include <set>
@@ -27,18 +27,16 @@
     std::uint16_t Port = 1;
     for (const FailureDomainName &Domain : Domains) {
       Host &Added = Hosts.emplace_back();
-      Added.Server = std::move(*HttpServer::bind(
-          Context.get_executor(),
-          TcpEndpoint(boost::asio::ip::address_v4::loopback(), 0)));
-      spawn(Context.get_executor(), "host",
-            Added.Server->serve(
-                [&Added](HttpRequest) { return answer(Added.Ready); }));
+      Added.Server = std::move(*HttpServer::bind(In.where(), anyTcp()));
+      spawn(In.where(), "host", Added.Server->serve([&Added](HttpRequest) {
+        return answer(Added.Ready);
+      }));
       Options.Hosts.push_back(
           {.Domain = Domain,
            .Packets = {boost::asio::ip::address_v4::loopback(), Port++},
            .Ready = Added.Server->localEndpoint()});
     }
-    Router.emplace(Context.get_executor(), Options);
+    Router.emplace(In.where(), Options);
   }
 
   static Task<std::optional<HttpResponse>> answer(bool Ready) {
@@ -48,8 +46,7 @@
   }
 
   void waitInRotation(std::size_t Count) {
-    while (Router->hostsInRotation() != Count)
-      Context.run_one();
+    In.runUntil([&] { return Router->hostsInRotation() == Count; });
   }
 
   //! Ports of the hosts that get flows of Domain.
@@ -63,7 +60,7 @@
     return Ports;
   }
 
-  boost::asio::io_context Context{1};
+  World In;
   std::deque<Host> Hosts;
   std::optional<PacketRouter> Router;
 };
--- a/packages/standins/tests/TcpProxyTests.cpp
+++ b/packages/standins/tests/TcpProxyTests.cpp
@@ -1,9 +1,9 @@
 #include "buckthorndeck/standins/TcpProxy.h"
 
+#include "Harness.h"
 #include "buckthorndeck/net/HttpClient.h"
 #include "buckthorndeck/net/HttpServer.h"
 
-#include <boost/asio/io_context.hpp>
 #include <catch2/catch.hpp>
 
 using namespace buckthorndeck;
@@ -17,12 +17,9 @@
 //! A server that answers every call, behind a proxy.
 struct Fixture {
   Fixture()
-      : Server(*HttpServer::bind(
-            Context.get_executor(),
-            TcpEndpoint(boost::asio::ip::address_v4::loopback(), 0))),
-        Proxy(std::move(
-            *TcpProxy::start(Context.get_executor(), Server.localEndpoint()))) {
-    spawn(Context.get_executor(), "server",
+      : Server(*HttpServer::bind(In.where(), anyTcp())),
+        Proxy(std::move(*TcpProxy::start(In.where(), Server.localEndpoint()))) {
+    spawn(In.where(), "server",
           Server.serve([](HttpRequest) { return answer(); }));
   }
 
@@ -32,22 +29,13 @@
 
   //! Whether a call through the proxy is answered in time.
   bool answers(Milliseconds Timeout) {
-    std::optional<bool> Result;
-    spawn(Context.get_executor(), "call", call(*this, Timeout, Result));
-    while (!Result)
-      Context.run_one();
-    return *Result;
-  }
-
-  static Task<> call(Fixture &Self, Milliseconds Timeout,
-                     std::optional<bool> &Result) {
     HttpRequest Request;
     const Expected<HttpResponse> Answer =
-        co_await callHttp(Self.Proxy->endpoint(), std::move(Request), Timeout);
-    Result = Answer.has_value();
+        In.run(callHttp(Proxy->endpoint(), std::move(Request), Timeout));
+    return Answer.has_value();
   }
 
-  boost::asio::io_context Context{1};
+  World In;
   HttpServer Server;
   std::unique_ptr<TcpProxy> Proxy;
 };
