Registry: relays pass changes of the store on inside a failure domain

Cause: every host watched the store and paused for half of the time to apply a change after each answer.

Its answer says how old its view is at most. A host whose own view gets older than two thirds of the time to apply a change asks the store at once, so that a relay that is killed, frozen, slow, cut off or turned away delays a change by that at most. The hosts with the largest share of a processor come first; the share is a new setting and travels in heartbeats.

A relay watches with a pause of a fifteenth of the bound instead of a half, so that changes are in force sooner than before.

--- a/packages/entryhost/src/buckthorndeck/entryhost/PacketHost.cpp
+++ b/packages/entryhost/src/buckthorndeck/entryhost/PacketHost.cpp
@@ -71,11 +71,15 @@
         Peers({.Name = Options.Name,
                .Domain = Options.FailureDomain,
                .Heartbeat = this->Heartbeats.localEndpoint(),
-               .Snapshot = this->MetricsServer.localEndpoint()},
+               .Snapshot = this->MetricsServer.localEndpoint(),
+               .ProcessorPermille = Options.ProcessorPermille},
               Options.Seeds),
         Registry(Where,
                  {.WatchWait = Options.WatchWait,
                   .ChangePause = Options.ChangePause,
+                  .FreshnessLimit = Options.FreshnessLimit,
+                  .RelayWait = Options.RelayWait,
+                  .RelayPause = Options.RelayPause,
                   .RandomSeed = Options.RandomSeed + 1},
                  this->Source, PacketForwarder, Peers),
         Random(Options.RandomSeed + 2), Timer(Where), Stopped(Where) {}
@@ -340,6 +344,7 @@
   co_return Answer;
 }
 
+//! Serves the metrics, and snapshots and changes for peers.
 Task<std::optional<HttpResponse>>
 PacketHost::Impl::answerMetrics(HttpRequest Request) {
   HttpResponse Answer;
@@ -348,11 +353,20 @@
     Answer.Body = std::string(toText(Registry.snapshot()));
     co_return Answer;
   }
+  if (const auto Query = forwarding::parseChangesTarget(Request.Target)) {
+    if (!Registry.loaded()) {
+      Answer.Status = 503;
+      co_return Answer;
+    }
+    co_return co_await Registry.answerChanges(*Query);
+  }
   if (Request.Target != "/metrics") {
     Answer.Status = 404;
     co_return Answer;
   }
-  State.StoreCalls = Registry.callCount();
+  State.Registry = Registry.counters();
+  State.RegistryAgeSeconds =
+      std::chrono::duration<double>(Registry.viewAge()).count();
   State.StoreAnswerAgeSeconds =
       std::chrono::duration<double>(Clock::now() - Registry.lastAnswerAt())
           .count();
--- a/packages/entryhost/src/buckthorndeck/entryhost/PacketMetrics.cpp
+++ b/packages/entryhost/src/buckthorndeck/entryhost/PacketMetrics.cpp
@@ -113,7 +113,16 @@
   Out.counter("buckthorndeck_sends_dropped_total",
               "Datagrams that the kernel refused to send", State.SendsDropped);
   Out.counter("buckthorndeck_store_calls_total",
-              "Calls to the platform's store", State.StoreCalls);
+              "Calls to the platform's store", State.Registry.StoreCalls);
+  Out.counter("buckthorndeck_relay_calls_total",
+              "Calls to relays for changes of the store",
+              State.Registry.RelayCalls);
+  Out.counter("buckthorndeck_relay_failures_total",
+              "Calls to relays that gave no changes",
+              State.Registry.RelayFailures);
+  Out.gauge("buckthorndeck_registry_age_seconds",
+            "Time since servers and configuration were known to be current",
+            State.RegistryAgeSeconds);
   Out.gauge("buckthorndeck_store_answer_age_seconds",
             "Time since the store last answered", State.StoreAnswerAgeSeconds);
   Out.gauge("buckthorndeck_config_version", "Configuration in force",
--- a/packages/entryhost/src/buckthorndeck/entryhost/PacketMetrics.h
+++ b/packages/entryhost/src/buckthorndeck/entryhost/PacketMetrics.h
@@ -2,6 +2,7 @@
 #define BUCKTHORNDECK_ENTRYHOST_PACKETMETRICS_H
 
 #include "buckthorndeck/forwarding/Forwarder.h"
+#include "buckthorndeck/forwarding/RegistryReader.h"
 
 #include <string>
 
@@ -12,8 +13,9 @@
   //! Packets and heartbeats that did not decode.
   std::uint64_t MalformedMessages = 0;
   std::uint64_t SendsDropped = 0;
-  std::uint64_t StoreCalls = 0;
+  forwarding::RegistryCounters Registry;
   double StoreAnswerAgeSeconds = 0;
+  double RegistryAgeSeconds = 0;
   bool Ready = false;
 };
 
--- a/packages/entryhost/src/buckthorndeck/entryhost/PacketSettings.cpp
+++ b/packages/entryhost/src/buckthorndeck/entryhost/PacketSettings.cpp
@@ -12,6 +12,13 @@
 //! The pause takes this part of the time to apply a change; the rest is left
 //! for slow calls and retries.
 constexpr int ChangePauseDivisor = 2;
+//! After this part of the time to apply a change, a host stops relying on
+//! relays; the rest is left for the call to the store.
+constexpr double FreshnessShare = 2.0 / 3;
+// Parts of the freshness limit.
+constexpr int RelayWaitDivisor = 5;
+constexpr int RelayPauseDivisor = 10;
+constexpr double Permille = 1000;
 
 constexpr const char *SchemaText = R"json({
   "type": "object",
@@ -61,7 +68,10 @@
       "description": "ms within which a watch that the store no longer serves must be detected; limits how long a watch waits"},
     "apply_within_ms": {"type": "integer", "minimum": 100, "maximum": 600000,
       "default": 3000,
-      "description": "ms within which a change in the store must be in force; half of it separates a change from the next watch, so that one call reads several changes"},
+      "description": "ms within which a change in the store must be in force; half of it separates a change from the next watch, so that one call reads several changes; after two thirds of it without news from a relay, a host asks the store"},
+    "processor_share": {"type": "number", "minimum": 0, "maximum": 1000,
+      "default": 0,
+      "description": "share of a processor that this host may use; the hosts with the largest share of a failure domain pass changes of the store on to the others; 0 if unknown"},
     "log_level": {"type": "string", "enum": ["debug", "info", "warn", "error"],
       "default": "info",
       "description": "least severe log level that is written"},
@@ -98,6 +108,12 @@
                         Result.StoreTimeout - WatchMargin);
   Result.ChangePause = Milliseconds(Reader.value<unsigned>("apply_within_ms")) /
                        ChangePauseDivisor;
+  Result.FreshnessLimit = std::chrono::duration_cast<Milliseconds>(
+      FreshnessShare * Milliseconds(Reader.value<unsigned>("apply_within_ms")));
+  Result.RelayWait = Result.FreshnessLimit / RelayWaitDivisor;
+  Result.RelayPause = Result.FreshnessLimit / RelayPauseDivisor;
+  Result.ProcessorPermille = static_cast<std::uint32_t>(
+      Permille * Reader.value<double>("processor_share"));
   Result.LogThreshold = Reader.logLevel("log_level");
   Result.LogLinesPerSecond = Reader.value<unsigned>("log_lines_per_s");
   Result.RandomSeed = Reader.seed("random_seed");
--- a/packages/entryhost/src/buckthorndeck/entryhost/PacketSettings.h
+++ b/packages/entryhost/src/buckthorndeck/entryhost/PacketSettings.h
@@ -29,6 +29,11 @@
   Milliseconds StoreTimeout{};
   Milliseconds WatchWait{};   //!< Time that a watch waits for a change.
   Milliseconds ChangePause{}; //!< Pause between a change and the next watch.
+  //! Age of this host's view of the store at which it stops relying on relays.
+  Milliseconds FreshnessLimit{};
+  Milliseconds RelayWait{};            //!< WatchWait of a relay.
+  Milliseconds RelayPause{};           //!< ChangePause of a relay.
+  std::uint32_t ProcessorPermille = 0; //!< Share of a processor; 0 if unknown.
   LogLevel LogThreshold = LogLevel::Info;
   unsigned LogLinesPerSecond = 0;
   std::uint64_t RandomSeed = 0;
--- a/packages/forwarding/fuzz/write-inputs.cpp
+++ b/packages/forwarding/fuzz/write-inputs.cpp
@@ -34,6 +34,6 @@
        .Services = {{.Service = Floor, .Weight = 2}}});
   Configuration.HealthRules.push_back({.Service = Floor, .Path = "/health"});
   Routes.apply(Configuration);
-  Files.write(encodeSnapshot(Servers, Routes, StoreRevision(9)));
+  Files.write(encodeSnapshot(Servers, Routes, StoreRevision(9), TimePoint()));
   return 0;
 }
--- a/packages/forwarding/src/buckthorndeck/forwarding/Limits.h
+++ b/packages/forwarding/src/buckthorndeck/forwarding/Limits.h
@@ -13,6 +13,7 @@
 inline constexpr std::size_t MaxNameBytes = 200;
 //! Far above any deployment, so that a corrupt size is rejected early.
 inline constexpr std::size_t MaxRoutes = 100'000;
+inline constexpr std::size_t MaxServers = 100'000;
 inline constexpr std::uint64_t MaxSlots = 1'000'000;
 inline constexpr std::uint64_t MaxWeight = 1'000'000;
 //! One day.
--- a/packages/forwarding/src/buckthorndeck/forwarding/Peers.cpp
+++ b/packages/forwarding/src/buckthorndeck/forwarding/Peers.cpp
@@ -25,7 +25,8 @@
   return Json{{"name", Value.Name.value()},
               {"failure_domain", Value.Domain.value()},
               {"heartbeat", toString(Value.Heartbeat)},
-              {"snapshot", toString(Value.Snapshot)}};
+              {"snapshot", toString(Value.Snapshot)},
+              {"processor_permille", Value.ProcessorPermille}};
 }
 
 Expected<Peer> decodePeer(const Json &Value, const std::string &Step,
@@ -34,6 +35,10 @@
   Peer Result{.Name = EntryHostName(Fields.text("name", MaxNameBytes, 1)),
               .Domain = FailureDomainName(
                   Fields.text("failure_domain", MaxNameBytes, 1))};
+  // Hosts of earlier versions don't send it.
+  if (Value.is_object() && Value.contains("processor_permille"))
+    Result.ProcessorPermille = static_cast<std::uint32_t>(
+        Fields.number("processor_permille", UINT32_MAX));
   const auto Heartbeat =
       parseUdpEndpoint(Fields.text("heartbeat", MaxAddressBytes), Step);
   const auto Snapshot =
@@ -167,6 +172,13 @@
   return Result;
 }
 
+std::vector<const Peer *> PeerDirectory::domainPeers() const {
+  std::vector<const Peer *> Result;
+  for (const PeerState *State : peersOf(Self.Domain))
+    Result.push_back(&State->Description);
+  return Result;
+}
+
 std::optional<Peer> PeerDirectory::randomPeer(RandomEngine &Random) const {
   const std::vector<const PeerState *> DomainPeers = peersOf(Self.Domain);
   if (DomainPeers.empty())
--- a/packages/forwarding/src/buckthorndeck/forwarding/Peers.h
+++ b/packages/forwarding/src/buckthorndeck/forwarding/Peers.h
@@ -20,7 +20,9 @@
   EntryHostName Name;
   FailureDomainName Domain;
   UdpEndpoint Heartbeat; //!< Where it receives heartbeats.
-  TcpEndpoint Snapshot;  //!< Where it serves its snapshot.
+  TcpEndpoint Snapshot;  //!< Where it serves its snapshot and its changes.
+  //! Share of a processor that it may use, in thousandths; 0 if unknown.
+  std::uint32_t ProcessorPermille = 0;
 };
 
 //! A host's announcement of itself and of peers that it recently received
@@ -40,9 +42,9 @@
 /**
  * The entry hosts that this host knows from heartbeats.
  *
- * Hosts of a failure domain exchange heartbeats, so that a host that restarts
- * during an outage of the store finds a peer with a snapshot of servers and
- * routes. The list has no other use.
+ * Hosts of a failure domain exchange heartbeats, so that a host finds a peer
+ * with a snapshot of servers and routes when it restarts during an outage of
+ * the store, and relays that pass on changes of the store.
  */
 class PeerDirectory {
 public:
@@ -64,6 +66,9 @@
   //! Removes peers that no recent heartbeat came from or mentioned.
   void removeStale(TimePoint Now);
 
+  //! The known hosts of the same failure domain, without this one.
+  std::vector<const Peer *> domainPeers() const;
+
   const Peer &self() const { return Self; }
   std::size_t size() const { return Peers.size(); }
 
--- a/packages/forwarding/src/buckthorndeck/forwarding/RegistryReader.cpp
+++ b/packages/forwarding/src/buckthorndeck/forwarding/RegistryReader.cpp
@@ -25,6 +25,13 @@
 constexpr std::size_t MaxLoggedChanges = 20;
 //! Peers in the own failure domain answer within milliseconds.
 constexpr Milliseconds PeerTimeout{500};
+// Relays watch more often than other hosts, since many hosts wait for them.
+//! Longest call to a relay, as part of FreshnessLimit.
+constexpr int RelayTimeoutDivisor = 2;
+//! Oldest view that a relay passes on, likewise.
+constexpr int MaxRelayedAgeDivisor = 2;
+//! Relays that are asked before the store is.
+constexpr unsigned MaxRelayAttempts = 2;
 //! The store usually answers within tens of ms. If it has not answered by then,
 //! a starting host also asks a peer, while packets still wait in the socket.
 constexpr Milliseconds PeerFallbackDelay{120};
@@ -59,15 +66,32 @@
       {{"revision", Read.value()}, {"known", Applied.value()}});
 }
 
-void logLoaded(const std::string &From, StoreRevision AppliedRevision,
-               Forwarder &Target) {
+void logLoaded(const std::string &From, StoreRevision AsOf, Forwarder &Target) {
   log(LogLevel::Info, "registry_loaded",
       {{"from", From},
-       {"revision", AppliedRevision.value()},
+       {"revision", AsOf.value()},
        {"servers", Target.servers().size()},
        {"config_version", Target.routes().version().value()}});
 }
 
+void logRelayFailed(const Peer &Followed, const Error &Failure,
+                    BootClock::duration ViewAge) {
+  log(LogLevel::Info, "relay_failed",
+      {{"peer", Followed.Name.value()},
+       {"code", toString(Failure.Code)},
+       {"error", Failure.Message},
+       {"view_age_ms",
+        std::chrono::duration_cast<Milliseconds>(ViewAge).count()}});
+}
+
+void logRelayed(const Peer &Followed, const RelayedChanges &Received) {
+  log(LogLevel::Info, "changes_relayed",
+      {{"peer", Followed.Name.value()},
+       {"events", Received.Changes.Events},
+       {"revision", Received.Changes.AsOf.value()},
+       {"age_ms", Received.Age.count()}});
+}
+
 void logSnapshotFailed(const Peer &Provider,
                        const Expected<HttpResponse> &Answer) {
   log(LogLevel::Warn, "snapshot_failed",
@@ -90,10 +114,13 @@
     : Options(Options), Source(std::move(Source)), Target(Target), Peers(Peers),
       Where(Where), Wake(std::make_shared<Notifier>(Where)),
       LoadedOrStopped(std::make_shared<Notifier>(Where)),
-      Random(Options.RandomSeed) {}
+      Random(Options.RandomSeed),
+      Relay(Where, View, Target, Options.FreshnessLimit / MaxRelayedAgeDivisor),
+      Relays(Peers) {}
 
 void RegistryReader::stop() {
   Stopped = true;
+  Relay.stop();
   Wake->notifyAll();
   LoadedOrStopped->notifyAll();
 }
@@ -104,7 +131,8 @@
 }
 
 Bytes RegistryReader::snapshot() const {
-  return encodeSnapshot(Target.servers(), Target.routes(), AppliedRevision);
+  return encodeSnapshot(Target.servers(), Target.routes(), View.AsOf,
+                        Clock::now());
 }
 
 void RegistryReader::refresh() {
@@ -117,7 +145,7 @@
 
 void RegistryReader::markLoaded(const std::string &From) {
   Loaded = true;
-  logLoaded(From, AppliedRevision, Target);
+  logLoaded(From, View.AsOf, Target);
   LoadedOrStopped->notifyAll();
 }
 
@@ -134,7 +162,7 @@
 }
 
 void RegistryReader::recordCallResult(std::optional<Error> Failure) {
-  ++Calls;
+  ++Counters.StoreCalls;
   if (Failure) {
     ++ConsecutiveFailures;
     logStoreFailure(*Failure, ConsecutiveFailures, LastAnswerAt);
@@ -199,6 +227,7 @@
 
 Task<bool> RegistryReader::readServers() {
   const bool InitialLoad = !Loaded;
+  const BootClock::time_point Started = BootClock::now();
   std::vector<std::string> PresentNames;
   std::optional<StoreRevision> FirstRevision;
   std::string From;
@@ -212,8 +241,8 @@
     // revision.
     if (!FirstRevision)
       FirstRevision = Page->Changes.AsOf;
-    if (*FirstRevision < AppliedRevision) {
-      logStaleRead(*FirstRevision, AppliedRevision);
+    if (*FirstRevision < View.AsOf) {
+      logStaleRead(*FirstRevision, View.AsOf);
       co_return false;
     }
     for (const ServerChange &Change : Page->Changes.Servers)
@@ -225,7 +254,9 @@
     From = *Page->Next;
   }
   Target.retainServers(std::move(PresentNames), *FirstRevision, Clock::now());
-  AppliedRevision = *FirstRevision;
+  View = {.AsOf = *FirstRevision,
+          .HistoryStart = *FirstRevision,
+          .VerifiedAt = Started};
   co_return true;
 }
 
@@ -262,10 +293,11 @@
     co_return false;
   }
   // The store may have answered meanwhile.
-  if (Loaded || Changes->AsOf < AppliedRevision ||
+  if (Loaded || Changes->AsOf < View.AsOf ||
       Changes->Routes->Version == ConfigVersion())
     co_return false;
-  AppliedRevision = Changes->AsOf;
+  // The snapshot does not say how old it is: VerifiedAt stays at the epoch.
+  View = {.AsOf = Changes->AsOf, .HistoryStart = Changes->AsOf};
   apply(*Changes);
   LoadedFromPeer = true;
   markLoaded(Provider->Name.value());
@@ -283,28 +315,140 @@
   }
 }
 
+//! Whether to watch with the wait and pause of a relay: other hosts wait for
+//! this one, or it is still finding its peers and may soon know a relay.
+bool RegistryReader::watchesBriefly() const {
+  return Relays.hasRelays() || KnownPeers != Peers.size();
+}
+
+//! Watches the store once. Returns false if it no longer has the history since
+//! the view's revision.
+Task<bool> RegistryReader::watchStore() {
+  const Milliseconds Wait =
+      watchesBriefly() ? Options.RelayWait : Options.WatchWait;
+  const BootClock::time_point Started = BootClock::now();
+  KnownPeers = Peers.size();
+  Expected<RegistryChanges> Changes = co_await Source.Watch(View.AsOf, Wait);
+  if (Stopped)
+    co_return true;
+  if (!Changes) {
+    recordCallResult(Changes.error());
+    StoreFailed = true;
+    Relay.recordAttempt();
+    co_await pause(
+        config::backoffDelay(Options.Backoff, ConsecutiveFailures - 1, Random));
+    co_return Changes.error().Code != ErrorCode::Expired;
+  }
+  recordCallResult(std::nullopt);
+  logWatch(*Changes);
+  StoreFailed = false;
+  apply(*Changes);
+  View.AsOf = std::max(View.AsOf, Changes->AsOf);
+  const bool Truncated = mayBeTruncated(*Changes);
+  if (!Truncated)
+    View.VerifiedAt = Started;
+  Relay.recordAttempt();
+  if (Changes->Events > 0 && !Truncated)
+    co_await pause(watchesBriefly() ? Options.RelayPause : Options.ChangePause);
+  co_return true;
+}
+
+//! Time that a call to a relay may take; zero if the store must be asked now.
+Milliseconds RegistryReader::relayTimeout() const {
+  const Milliseconds Longest = Options.FreshnessLimit / RelayTimeoutDivisor;
+  const auto Left = std::chrono::duration_cast<Milliseconds>(
+      Options.FreshnessLimit - ageOf(View));
+  // While the store does not answer, relays are the only source, however old
+  // the view is.
+  if (Left.count() <= 0)
+    return StoreFailed ? Longest : Milliseconds(0);
+  return std::min(Left, Longest);
+}
+
+//! Asks relays for changes. Returns whether one answered.
+Task<bool> RegistryReader::followRelays() {
+  for (unsigned Attempt = 0; Attempt < MaxRelayAttempts; ++Attempt) {
+    const std::optional<Peer> Followed = Relays.choose(Clock::now());
+    const Milliseconds Timeout = relayTimeout();
+    if (!Followed || Timeout.count() == 0)
+      co_return false;
+    const bool Answered = co_await followRelay(*Followed, Timeout);
+    if (Answered || Stopped)
+      co_return Answered;
+  }
+  co_return false;
+}
+
+//! The changes in a relay's answer, if they lead on from this host's view.
+Expected<RelayedChanges>
+RegistryReader::checkRelayed(const Expected<HttpResponse> &Answer,
+                             const Peer &Followed,
+                             BootClock::time_point Asked) const {
+  const auto Failed = [&](ErrorCode Code, const std::string &Message) {
+    return Unexpected(Error{.Code = Code,
+                            .Step = "read changes",
+                            .Peer = Followed.Name.value(),
+                            .Message = Message});
+  };
+  if (!Answer)
+    return Unexpected(Answer.error());
+  if (Answer->Status != 200)
+    return Failed(ErrorCode::Refused,
+                  "HTTP status " + std::to_string(Answer->Status));
+  Expected<RelayedChanges> Received =
+      decodeChanges(toBytes(Answer->Body), Followed.Name.value());
+  if (!Received)
+    return Received;
+  if (Received->Changes.AsOf < View.AsOf)
+    return Failed(ErrorCode::Invalid,
+                  "revision " + std::to_string(Received->Changes.AsOf.value()) +
+                      " is behind revision " +
+                      std::to_string(View.AsOf.value()));
+  if (BootClock::now() - Asked + Received->Age > Options.FreshnessLimit)
+    return Failed(ErrorCode::Expired, "the answer is too old");
+  return Received;
+}
+
+//! Asks a relay for changes. Returns whether it answered.
+Task<bool> RegistryReader::followRelay(Peer Followed, Milliseconds Timeout) {
+  ++Counters.RelayCalls;
+  HttpRequest Request;
+  Request.Target =
+      changesTarget({.After = View.AsOf, .Config = Target.routes().version()});
+  const BootClock::time_point Asked = BootClock::now();
+  const Expected<HttpResponse> Answer =
+      co_await callHttp(Followed.Snapshot, std::move(Request), Timeout);
+  if (Stopped)
+    co_return false;
+  Expected<RelayedChanges> Received = checkRelayed(Answer, Followed, Asked);
+  if (!Received) {
+    ++Counters.RelayFailures;
+    logRelayFailed(Followed, Received.error(), ageOf(View));
+    Relays.markFailed(Followed.Name, Clock::now());
+    Relay.recordAttempt();
+    co_return false;
+  }
+  if (Received->Changes.Events > 0 || FollowedRelay != Followed.Name.value())
+    logRelayed(Followed, *Received);
+  FollowedRelay = Followed.Name.value();
+  apply(Received->Changes);
+  View.AsOf = Received->Changes.AsOf;
+  View.VerifiedAt = std::max(View.VerifiedAt, Asked - Received->Age);
+  StoreFailed = false;
+  Relay.recordAttempt();
+  co_return true;
+}
+
 //! Applies changes until stop() or until the store no longer has the history
-//! since AppliedRevision.
+//! since the view's revision.
 Task<> RegistryReader::watchChanges() {
   while (!Stopped) {
-    Expected<RegistryChanges> Changes =
-        co_await Source.Watch(AppliedRevision, Options.WatchWait);
-    if (Stopped)
-      co_return;
-    if (!Changes) {
-      recordCallResult(Changes.error());
-      co_await pause(config::backoffDelay(Options.Backoff,
-                                          ConsecutiveFailures - 1, Random));
-      if (Changes.error().Code == ErrorCode::Expired)
-        co_return;
+    const bool Followed = co_await followRelays();
+    if (Followed || Stopped)
       continue;
-    }
-    recordCallResult(std::nullopt);
-    logWatch(*Changes);
-    apply(*Changes);
-    AppliedRevision = std::max(AppliedRevision, Changes->AsOf);
-    if (Changes->Events > 0 && !mayBeTruncated(*Changes))
-      co_await pause(Options.ChangePause);
+    const bool HasHistory = co_await watchStore();
+    if (!HasHistory)
+      co_return;
   }
 }
 
--- a/packages/forwarding/src/buckthorndeck/forwarding/RegistryReader.h
+++ b/packages/forwarding/src/buckthorndeck/forwarding/RegistryReader.h
@@ -3,9 +3,12 @@
 
 #include "buckthorndeck/base/Random.h"
 #include "buckthorndeck/config/CallPolicy.h"
+#include "buckthorndeck/forwarding/ChangeRelay.h"
 #include "buckthorndeck/forwarding/Forwarder.h"
 #include "buckthorndeck/forwarding/Peers.h"
 #include "buckthorndeck/forwarding/Registry.h"
+#include "buckthorndeck/forwarding/RegistryView.h"
+#include "buckthorndeck/forwarding/RelaySelection.h"
 #include "buckthorndeck/net/Notifier.h"
 
 #include <memory>
@@ -21,12 +24,34 @@
   Milliseconds WatchWait{3000};
   //! Pause after an answer with changes, so that one call returns several.
   Milliseconds ChangePause{1000};
+  //! In a failure domain with relays, a host whose view is older than this asks
+  //! the store, which must answer within the rest of the time to apply a
+  //! change.
+  Milliseconds FreshnessLimit{2000};
+  // A peer's view is as old as a wait of its relay and a wait and a pause of
+  // its own call when it asks again, and that call takes a wait and a pause:
+  // three waits and two pauses must be well below FreshnessLimit.
+  Milliseconds RelayWait{400};  //!< WatchWait of a relay.
+  Milliseconds RelayPause{200}; //!< ChangePause of a relay.
   config::BackoffOptions Backoff{.First = Milliseconds(100),
                                  .Max = Milliseconds(1000)};
   std::uint64_t RandomSeed = 1;
 };
 
-//! Updates a Forwarder with the servers and routes in the platform's store.
+struct RegistryCounters {
+  std::uint64_t StoreCalls = 0;
+  std::uint64_t RelayCalls = 0;    //!< Calls to relays.
+  std::uint64_t RelayFailures = 0; //!< Calls to relays that gave no changes.
+};
+
+/**
+ * Updates a Forwarder with the servers and routes in the platform's store.
+ *
+ * After the first complete read the host watches for changes: at the store, or
+ * at a relay if its failure domain has them. A relay's answer says how old the
+ * relay's view is. As soon as this host's own view gets too old by this
+ * measure, it asks the store.
+ */
 class RegistryReader {
 public:
   RegistryReader(const Executor &Where, const RegistryReaderOptions &Options,
@@ -39,6 +64,10 @@
   void onPeerDiscovered();
   //! Servers and routes for a host that cannot read the store.
   Bytes snapshot() const;
+  //! Answers a peer that has this host as its relay.
+  Task<HttpResponse> answerChanges(ChangeQuery Query) {
+    return Relay.answer(Query);
+  }
   void stop();
   //! Ends the current pause, at most once per second.
   void refresh();
@@ -50,7 +79,9 @@
   bool loaded() const { return Loaded; }
   //! Time of the store's last answer; epoch if none.
   TimePoint lastAnswerAt() const { return LastAnswerAt; }
-  std::uint64_t callCount() const { return Calls; }
+  //! Time since this host's view was known to be complete.
+  BootClock::duration viewAge() const { return ageOf(View); }
+  const RegistryCounters &counters() const { return Counters; }
 
 private:
   Task<bool> load();
@@ -60,6 +91,14 @@
   Task<bool> readServers();
   Task<Expected<RegistryPage>> readPage(std::string From);
   Task<> watchChanges();
+  Task<bool> watchStore();
+  Task<bool> followRelays();
+  Task<bool> followRelay(Peer Followed, Milliseconds Timeout);
+  Expected<RelayedChanges> checkRelayed(const Expected<HttpResponse> &Answer,
+                                        const Peer &Followed,
+                                        BootClock::time_point Asked) const;
+  Milliseconds relayTimeout() const;
+  bool watchesBriefly() const;
   void apply(RegistryChanges &Changes);
   void markLoaded(const std::string &From);
   void recordCallResult(std::optional<Error> Failure);
@@ -73,13 +112,20 @@
   std::shared_ptr<Notifier> Wake;
   std::shared_ptr<Notifier> LoadedOrStopped;
   RandomEngine Random;
-  StoreRevision AppliedRevision; //!< Changes up to here are applied.
+  RegistryView View;
+  ChangeRelay Relay;
+  RelaySelection Relays;
+  std::string FollowedRelay; //!< Name of the last relay that answered.
   TimePoint LastAnswerAt;
   TimePoint LastRefreshAt;
-  std::uint64_t Calls = 0;
+  RegistryCounters Counters;
   unsigned ConsecutiveFailures = 0; //!< Of calls to the store.
   bool Loaded = false;
   bool LoadedFromPeer = false; //!< Set until run() has handled it.
+  //! Peers known at the start of the last watch; no value before the first.
+  std::optional<std::size_t> KnownPeers;
+  //! The last watch at the store failed, and no relay has answered since.
+  bool StoreFailed = false;
   bool Stopped = false;
 };
 
--- /dev/null
+++ b/packages/forwarding/src/buckthorndeck/forwarding/RelayedChanges.cpp
@@ -0,0 +1,119 @@
+#include "buckthorndeck/forwarding/RelayedChanges.h"
+
+#include "buckthorndeck/base/FieldReader.h"
+#include "buckthorndeck/forwarding/Limits.h"
+#include "buckthorndeck/forwarding/internal/RegistryFields.h"
+
+#include <charconv>
+
+namespace buckthorndeck::forwarding {
+
+namespace {
+
+constexpr const char *Step = "read changes";
+constexpr std::string_view Path = "/changes?after=";
+constexpr std::string_view ConfigParameter = "&config=";
+
+//! Removes a decimal number from the front of Text.
+std::optional<std::uint64_t> takeNumber(std::string_view &Text) {
+  std::uint64_t Value = 0;
+  const auto [End, Code] =
+      std::from_chars(Text.data(), Text.data() + Text.size(), Value);
+  if (Code != std::errc())
+    return std::nullopt;
+  Text.remove_prefix(static_cast<std::size_t>(End - Text.data()));
+  return Value;
+}
+
+Expected<ServerChange> decodeRemoval(const Json &Value,
+                                     const std::string &Source) {
+  FieldReader Fields(Value, Step, Source);
+  ServerChange Result{.Name = Fields.text("name", MaxNameBytes, 1),
+                      .Revision = StoreRevision(Fields.number("revision"))};
+  if (Fields.failed())
+    return Unexpected(Fields.error());
+  return Result;
+}
+
+} // namespace
+
+std::string changesTarget(const ChangeQuery &Query) {
+  return std::string(Path) + std::to_string(Query.After.value()) +
+         std::string(ConfigParameter) + std::to_string(Query.Config.value());
+}
+
+std::optional<ChangeQuery> parseChangesTarget(std::string_view Target) {
+  if (!Target.starts_with(Path))
+    return std::nullopt;
+  Target.remove_prefix(Path.size());
+  const auto After = takeNumber(Target);
+  if (!After || !Target.starts_with(ConfigParameter))
+    return std::nullopt;
+  Target.remove_prefix(ConfigParameter.size());
+  const auto Config = takeNumber(Target);
+  if (!Config || !Target.empty())
+    return std::nullopt;
+  return ChangeQuery{.After = StoreRevision(*After),
+                     .Config = ConfigVersion(*Config)};
+}
+
+Bytes encodeChanges(ServerDirectory &Servers, const RouteTable &Routes,
+                    const ChangeQuery &Query, StoreRevision AsOf,
+                    Milliseconds Age, TimePoint Now) {
+  Json Updated = Json::array();
+  Json Removed = Json::array();
+  Servers.forEach([&](const Server &Backend) {
+    if (Backend.Revision <= Query.After)
+      return;
+    if (Backend.Registered)
+      Updated.push_back(encodeServer(Backend, Now));
+    else if (Servers.isLatest(Backend))
+      Removed.push_back({{"name", Backend.Record.Name},
+                         {"revision", Backend.Revision.value()}});
+  });
+  Json Message{{"as_of", AsOf.value()},
+               {"age_ms", Age.count()},
+               {"updated", std::move(Updated)},
+               {"removed", std::move(Removed)}};
+  if (Routes.version() > Query.Config)
+    Message["routes"] = encodeRoutes(Routes);
+  return encodeCbor(Message);
+}
+
+Expected<RelayedChanges> decodeChanges(ByteView Data,
+                                       const std::string &Source) {
+  const auto Document = decodeCbor(Data, Step, Source);
+  if (!Document)
+    return Unexpected(Document.error());
+  FieldReader Fields(*Document, Step, Source);
+  RelayedChanges Result;
+  Result.Changes.AsOf = StoreRevision(Fields.number("as_of"));
+  Result.Age = Milliseconds(Fields.number("age_ms", MaxMilliseconds));
+  const Json *Updated = Fields.array("updated", MaxServers);
+  const Json *Removed = Fields.array("removed", MaxServers);
+  if (Fields.failed())
+    return Unexpected(Fields.error());
+  for (const Json &Value : *Updated) {
+    auto Change = decodeServer(Value, Step, Source);
+    if (!Change)
+      return Unexpected(Change.error());
+    Result.Changes.Servers.push_back(std::move(*Change));
+  }
+  for (const Json &Value : *Removed) {
+    auto Change = decodeRemoval(Value, Source);
+    if (!Change)
+      return Unexpected(Change.error());
+    Result.Changes.Servers.push_back(std::move(*Change));
+  }
+  if (Document->contains("routes")) {
+    auto Routes = decodeRoutes((*Document)["routes"], Step, Source);
+    if (!Routes)
+      return Unexpected(Routes.error());
+    Result.Changes.Routes = std::move(*Routes);
+  }
+  Result.Changes.Events =
+      Result.Changes.Servers.size() + (Result.Changes.Routes ? 1 : 0);
+  return Result;
+}
+
+} // namespace buckthorndeck::forwarding
--- a/packages/forwarding/src/buckthorndeck/forwarding/ServerDirectory.cpp
+++ b/packages/forwarding/src/buckthorndeck/forwarding/ServerDirectory.cpp
@@ -141,6 +141,7 @@
         Backend.HealthCheckRunning)
       return false;
     eraseFromIndexes(Backend);
+    NewestErased = std::max(NewestErased, Backend.Revision);
     return true;
   });
 }
@@ -157,6 +158,11 @@
   return Found == ByService.end() ? None : Found->second;
 }
 
+bool ServerDirectory::isLatest(const Server &Backend) const {
+  const auto SameName = ByName.find(Backend.Record.Name);
+  return SameName != ByName.end() && SameName->second == &Backend;
+}
+
 bool ServerDirectory::isReplaced(const Server &Removed) const {
   const auto Found = ByAddress.find(toSocketAddress(Removed.Record.Address));
   return Found != ByAddress.end() && Found->second != &Removed &&
--- a/packages/forwarding/src/buckthorndeck/forwarding/ServerDirectory.h
+++ b/packages/forwarding/src/buckthorndeck/forwarding/ServerDirectory.h
@@ -103,6 +103,10 @@
   //! Servers of a service, including those that were unregistered but not yet
   //! erased.
   const std::vector<Server *> &serversOf(const ServiceName &Service) const;
+  //! Whether Backend is the last process that was registered under its name.
+  bool isLatest(const Server &Backend) const;
+  //! Highest revision of a process that was erased.
+  StoreRevision newestErased() const { return NewestErased; }
   //! Whether another process is registered at the address of Removed.
   bool isReplaced(const Server &Removed) const;
 
@@ -121,6 +125,7 @@
   boost::unordered_flat_map<std::string, std::vector<Server *>> ByService;
   boost::unordered_flat_map<SocketAddress, Server *, SocketAddressHash>
       ByAddress;
+  StoreRevision NewestErased;
 };
 
 SocketAddress toSocketAddress(const UdpEndpoint &Where);
--- /dev/null
+++ b/packages/forwarding/src/buckthorndeck/forwarding/internal/RegistryFields.cpp
@@ -0,0 +1,146 @@
+#include "buckthorndeck/forwarding/internal/RegistryFields.h"
+
+#include "buckthorndeck/base/FieldReader.h"
+#include "buckthorndeck/forwarding/Limits.h"
+
+#include <algorithm>
+#include <boost/asio/ip/address_v4.hpp>
+
+namespace buckthorndeck::forwarding {
+
+namespace {
+
+Json encodeRoute(const Route &Source) {
+  Json Services = Json::array();
+  for (const WeightedService &Candidate : Source.Services)
+    Services.push_back(
+        {{"service", Candidate.Service.value()}, {"weight", Candidate.Weight}});
+  return Json{{"ip", Source.Address.Ip},
+              {"port", Source.Address.Port},
+              {"services", Services}};
+}
+
+Expected<Route> decodeRoute(const Json &Value, const std::string &Step,
+                            const std::string &Source) {
+  FieldReader Fields(Value, Step, Source);
+  Route Result{.Address = {.Ip = static_cast<std::uint32_t>(
+                               Fields.number("ip", UINT32_MAX)),
+                           .Port = static_cast<std::uint16_t>(
+                               Fields.number("port", UINT16_MAX))}};
+  const Json *Services = Fields.array("services", MaxRoutes);
+  if (Fields.failed())
+    return Unexpected(Fields.error());
+  for (const Json &ServiceValue : *Services) {
+    FieldReader ServiceFields(ServiceValue, Step, Source);
+    Result.Services.push_back(
+        {.Service = ServiceName(ServiceFields.text("service", MaxNameBytes, 1)),
+         .Weight = static_cast<std::uint32_t>(
+             ServiceFields.number("weight", MaxWeight, 1))});
+    if (ServiceFields.failed())
+      return Unexpected(ServiceFields.error());
+  }
+  if (Result.Services.empty())
+    Fields.fail("services", "at least one service, found an empty array");
+  if (Fields.failed())
+    return Unexpected(Fields.error());
+  return Result;
+}
+
+Expected<HealthRule> decodeHealthRule(const Json &Value,
+                                      const std::string &Step,
+                                      const std::string &Source) {
+  FieldReader Fields(Value, Step, Source);
+  HealthRule Result{.Service =
+                        ServiceName(Fields.text("service", MaxNameBytes, 1)),
+                    .Path = Fields.text("path", MaxNameBytes, 1)};
+  if (Fields.failed())
+    return Unexpected(Fields.error());
+  return Result;
+}
+
+} // namespace
+
+Json encodeServer(const Server &Backend, TimePoint Now) {
+  const ServerRecord &Record = Backend.Record;
+  const auto WarmupLeft = std::chrono::duration_cast<Milliseconds>(
+      std::max(Backend.WarmupEndsAt - Now, Clock::duration{0}));
+  return Json{{"name", Record.Name},
+              {"id", Record.Id.value()},
+              {"born", Record.StartTime.value()},
+              {"service", Record.Service.value()},
+              {"address", buckthorndeck::toString(Record.Address)},
+              {"failure_domain", Record.Domain.value()},
+              {"slots", Record.Slots},
+              {"draining", Record.Draining},
+              {"warmup_ms", WarmupLeft.count()},
+              {"revision", Backend.Revision.value()}};
+}
+
+Expected<ServerChange> decodeServer(const Json &Value, const std::string &Step,
+                                    const std::string &Source) {
+  FieldReader Fields(Value, Step, Source);
+  ServerRecord Record{
+      .Name = Fields.text("name", MaxNameBytes, 1),
+      .Id = ServerId(Fields.number("id")),
+      .StartTime = Incarnation(Fields.number("born")),
+      .Service = ServiceName(Fields.text("service", MaxNameBytes, 1)),
+      .Domain =
+          FailureDomainName(Fields.text("failure_domain", MaxNameBytes, 1)),
+      .Slots = static_cast<std::uint32_t>(Fields.number("slots", MaxSlots, 1)),
+      .Draining = Fields.flag("draining")};
+  // Hosts of earlier versions don't send it.
+  if (Value.is_object() && Value.contains("warmup_ms"))
+    Record.WarmupLeft =
+        Milliseconds(Fields.number("warmup_ms", MaxMilliseconds));
+  const StoreRevision Revision(Fields.number("revision"));
+  const auto Address =
+      parseUdpEndpoint(Fields.text("address", MaxNameBytes), Step);
+  if (Fields.failed())
+    return Unexpected(Fields.error());
+  if (!Address)
+    return Unexpected(Address.error());
+  Record.Address = *Address;
+  const std::string Name = Record.Name;
+  return ServerChange{
+      .Name = Name, .Revision = Revision, .Record = std::move(Record)};
+}
+
+Json encodeRoutes(const RouteTable &Routes) {
+  Json RouteList = Json::array();
+  Routes.forEach(
+      [&](const Route &Stored) { RouteList.push_back(encodeRoute(Stored)); });
+  Json Rules = Json::array();
+  for (const HealthRule &Rule : Routes.healthRules())
+    Rules.push_back({{"service", Rule.Service.value()}, {"path", Rule.Path}});
+  return Json{{"config_version", Routes.version().value()},
+              {"idle_timeout_ms", Routes.idleTimeout().count()},
+              {"routes", std::move(RouteList)},
+              {"health_rules", std::move(Rules)}};
+}
+
+Expected<RouteSet> decodeRoutes(const Json &Value, const std::string &Step,
+                                const std::string &Source) {
+  FieldReader Fields(Value, Step, Source);
+  RouteSet Result{.Version = ConfigVersion(Fields.number("config_version")),
+                  .IdleTimeout = Milliseconds(
+                      Fields.number("idle_timeout_ms", MaxMilliseconds))};
+  const Json *RouteList = Fields.array("routes", MaxRoutes);
+  const Json *Rules = Fields.array("health_rules", MaxRoutes);
+  if (Fields.failed())
+    return Unexpected(Fields.error());
+  for (const Json &RouteValue : *RouteList) {
+    auto Decoded = decodeRoute(RouteValue, Step, Source);
+    if (!Decoded)
+      return Unexpected(Decoded.error());
+    Result.Routes.push_back(std::move(*Decoded));
+  }
+  for (const Json &RuleValue : *Rules) {
+    auto Decoded = decodeHealthRule(RuleValue, Step, Source);
+    if (!Decoded)
+      return Unexpected(Decoded.error());
+    Result.HealthRules.push_back(std::move(*Decoded));
+  }
+  return Result;
+}
+
+} // namespace buckthorndeck::forwarding
--- a/packages/forwarding/tests/SnapshotTests.cpp
+++ b/packages/forwarding/tests/SnapshotTests.cpp
@@ -13,7 +13,7 @@
   ForwarderFixture Site(2);
   Site.Host.removeServer(makeServer(1).Name, StoreRevision(20), Start);
   return encodeSnapshot(Site.Host.servers(), Site.Host.routes(),
-                        StoreRevision(21));
+                        StoreRevision(21), Start);
 }
 
 } // namespace
