Faults: settings are reloaded while flows are open, and relays under the soak

Cause: the users' platform sends SIGHUP with changed settings. No test showed what a host does then, with good settings or bad ones. The soak's sites had at most four hosts, too few for relays.

--- a/packages/faults/src/buckthorndeck/faults/ChildProcess.cpp
+++ b/packages/faults/src/buckthorndeck/faults/ChildProcess.cpp
@@ -51,6 +51,7 @@
 void ChildProcess::terminate() { Running->signal(SIGTERM); }
 void ChildProcess::freeze() { Running->signal(SIGSTOP); }
 void ChildProcess::resume() { Running->signal(SIGCONT); }
+void ChildProcess::reload() { Running->signal(SIGHUP); }
 
 bool ChildProcess::running() { return Running->Process.running(); }
 
--- a/packages/faults/src/buckthorndeck/faults/ChildProcess.h
+++ b/packages/faults/src/buckthorndeck/faults/ChildProcess.h
@@ -29,6 +29,7 @@
   void terminate(); //!< SIGTERM: graceful stop
   void freeze();    //!< SIGSTOP
   void resume();    //!< SIGCONT
+  void reload();    //!< SIGHUP: reads its settings again
 
   bool running();
   //! Waits until the process has ended and returns its exit code.
--- a/packages/faults/src/buckthorndeck/faults/PacketFaults.h
+++ b/packages/faults/src/buckthorndeck/faults/PacketFaults.h
@@ -48,6 +48,7 @@
   Task<> killOneHost();
   Task<> killAllHosts();
   Task<> restartHostsInTurn();
+  Task<> reloadSettings();
   Task<> disturbStore(platform::StoreFaults Faults, Milliseconds Time);
   Task<> refuseStore();
   Task<> silenceStore();
--- a/packages/faults/src/buckthorndeck/faults/PacketSite.cpp
+++ b/packages/faults/src/buckthorndeck/faults/PacketSite.cpp
@@ -137,15 +137,27 @@
       {"random_seed", Options.Seed * 1000 + Number + 1}};
 }
 
+std::string PacketSite::settingsFile(const PacketSiteHost &Host) const {
+  return Options.Directory + "/" + Host.Name + ".json";
+}
+
+std::string PacketSite::logFile(const PacketSiteHost &Host) const {
+  return Options.Directory + "/" + Host.Name + ".log";
+}
+
+void PacketSite::writeSettings(const PacketSiteHost &Host,
+                               const std::string &Text) {
+  std::ofstream(settingsFile(Host)) << Text;
+}
+
 void PacketSite::startHost(PacketSiteHost &Host) {
-  const std::string Base = Options.Directory + "/" + Host.Name;
-  std::ofstream(Base + ".json") << Host.Settings.dump(2);
+  writeSettings(Host, Host.Settings.dump(2));
   ++Host.Lifetime;
   const ChildProcessOptions Child{
       .Program = Options.Program,
-      .Arguments = {"packets", "--settings=" + Base + ".json"},
-      .OutputFile = Base + ".log",
-      .ErrorFile = Base + ".err"};
+      .Arguments = {"packets", "--settings=" + settingsFile(Host)},
+      .OutputFile = logFile(Host),
+      .ErrorFile = Options.Directory + "/" + Host.Name + ".err"};
   Host.Process = std::make_unique<ChildProcess>(Child);
 }
 
--- a/packages/faults/src/buckthorndeck/faults/PacketSite.h
+++ b/packages/faults/src/buckthorndeck/faults/PacketSite.h
@@ -109,6 +109,11 @@
   Task<> stop();
 
   void startHost(PacketSiteHost &Host);
+  //! Replaces the settings file of a host with Text; startHost() writes the
+  //! host's own settings again.
+  void writeSettings(const PacketSiteHost &Host, const std::string &Text);
+  //! Path of the file with a host's log lines.
+  std::string logFile(const PacketSiteHost &Host) const;
   //! Waits until every host that runs is in rotation.
   Task<bool> waitReady(Milliseconds Limit);
   //! Starts and registers a server, at Address if there is one.
@@ -136,6 +141,7 @@
   PacketSiteHost *hostAt(const UdpEndpoint &Packets);
 
 private:
+  std::string settingsFile(const PacketSiteHost &Host) const;
   Json hostSettings(const PacketSiteHost &Host, unsigned Number) const;
 
   Executor Where;
--- a/packages/faults/tests/SoakTests.cpp
+++ b/packages/faults/tests/SoakTests.cpp
@@ -33,6 +33,17 @@
   CHECK(Report.HostResets == 0);
 }
 
+TEST_CASE("Hosts that get changes from relays keep their promises under "
+          "overlapping faults") {
+  // Relays are killed, frozen and cut off from the store like other hosts.
+  const SoakReport Report = runSeed({.Site = {.Hosts = 20, .Domains = 2},
+                                     .Length = Milliseconds(8000),
+                                     .MaxPause = Milliseconds(800)},
+                                    3);
+  CHECK(Report.Outcomes.at("answered") > 100);
+  CHECK(Report.Faults.size() > 5);
+}
+
 TEST_CASE("The packet path keeps its promises under overlapping faults") {
   const std::uint64_t Seed = GENERATE(1, 2);
   const SoakReport Report = runSeed(
