--- a/packages/forwarding/fuzz/write-inputs.cpp
+++ b/packages/forwarding/fuzz/write-inputs.cpp
@@ -3,6 +3,7 @@
 
 #include "../../base/fuzz/InputFiles.h"
 #include "buckthorndeck/forwarding/Peers.h"
+#include "buckthorndeck/forwarding/RelayedChanges.h"
 #include "buckthorndeck/forwarding/Snapshot.h"
 
 using namespace buckthorndeck;
@@ -35,5 +36,7 @@
   Configuration.HealthRules.push_back({.Service = Floor, .Path = "/health"});
   Routes.apply(Configuration);
   Files.write(encodeSnapshot(Servers, Routes, StoreRevision(9), TimePoint()));
+  Files.write(encodeChanges(Servers, Routes, ChangeQuery(), StoreRevision(9),
+                            Milliseconds(250), TimePoint()));
   return 0;
 }
