Placement: a server without a response is expected to be as slow as the others

Change: the expected time of such a server is the average of the service's usable servers that have answered, and at least 30 ms as before.

--- a/packages/forwarding/src/buckthorndeck/forwarding/Placement.cpp
+++ b/packages/forwarding/src/buckthorndeck/forwarding/Placement.cpp
@@ -15,8 +15,8 @@
 constexpr double WarmupCostFactor = 2.0;
 //! Cost on a suspected server, relative to others.
 constexpr double SuspectedCostFactor = 10.0;
-//! Response time that is assumed for a server before its first response.
-constexpr double DefaultResponseMs = 30.0;
+//! Least response time that is assumed for a server before its first response.
+constexpr double MinUnknownResponseMs = 30.0;
 //! A domain with this part of its even share of all slots still keeps all of
 //! its new flows.
 constexpr double FullDomainShare = 0.8;
@@ -48,39 +48,57 @@
          Candidate.State == Reachability::Unresponsive;
 }
 
-//! Share of new flows that stay in this host's failure domain: 1 if its servers
-//! have at least FullDomainShare of an even share of the usable slots,
-//! otherwise in proportion.
-double ownDomainShare(std::span<Server *const> Servers,
-                      const PlacementContext &Context) {
-  double OwnSlots = 0;
+//! What the usable servers of a service have together.
+struct ServiceSummary {
+  double OwnSlots = 0; //!< Slots in this host's failure domain.
   double AllSlots = 0;
+  //! Response time to assume for a server without a response.
+  double UnknownResponseMs = MinUnknownResponseMs;
+};
+
+ServiceSummary summarize(std::span<Server *const> Servers,
+                         const PlacementContext &Context) {
+  ServiceSummary Result;
+  double ResponseSum = 0;
+  double ResponseCount = 0;
   for (const Server *Candidate : Servers) {
     if (!isUsable(*Candidate))
       continue;
-    AllSlots += Candidate->Record.Slots;
+    Result.AllSlots += Candidate->Record.Slots;
     if (Candidate->Record.Domain == Context.Domain)
-      OwnSlots += Candidate->Record.Slots;
+      Result.OwnSlots += Candidate->Record.Slots;
+    ResponseSum += Candidate->ResponseMs;
+    ResponseCount += Candidate->ResponseMs > 0 ? 1 : 0;
   }
-  if (AllSlots == 0)
+  if (ResponseCount > 0)
+    Result.UnknownResponseMs =
+        std::max(MinUnknownResponseMs, ResponseSum / ResponseCount);
+  return Result;
+}
+
+//! Share of new flows that stay in this host's failure domain: 1 if its servers
+//! have at least FullDomainShare of an even share of the usable slots,
+//! otherwise in proportion.
+double ownDomainShare(const ServiceSummary &Service, std::size_t DomainCount) {
+  if (Service.AllSlots == 0)
     return 0;
   const double EvenShareRatio =
-      OwnSlots * static_cast<double>(Context.DomainCount) / AllSlots;
+      Service.OwnSlots * static_cast<double>(DomainCount) / Service.AllSlots;
   return std::min(1.0, EvenShareRatio / FullDomainShare);
 }
 
 //! Server with the lowest cost that Accept admits. Equal costs are decided at
 //! random, so that hosts with the same state do not all choose the same server.
 template <typename Filter>
-Server *cheapest(std::span<Server *const> Servers, TimePoint Now,
-                 RandomEngine &Random, Filter Accept) {
+Server *cheapest(std::span<Server *const> Servers, double UnknownResponseMs,
+                 TimePoint Now, RandomEngine &Random, Filter Accept) {
   Server *Best = nullptr;
   double BestCost = 0;
   std::uint64_t EqualCount = 0;
   for (Server *Candidate : Servers) {
     if (!Accept(*Candidate))
       continue;
-    const double Cost = placementCost(*Candidate, Now);
+    const double Cost = placementCost(*Candidate, UnknownResponseMs, Now);
     if (Best && Cost > BestCost)
       continue;
     EqualCount = Best && Cost == BestCost ? EqualCount + 1 : 1;
@@ -111,9 +129,10 @@
   return "unknown";
 }
 
-double placementCost(const Server &Candidate, TimePoint Now) {
+double placementCost(const Server &Candidate, double UnknownResponseMs,
+                     TimePoint Now) {
   const double ResponseMs =
-      Candidate.ResponseMs == 0 ? DefaultResponseMs : Candidate.ResponseMs;
+      Candidate.ResponseMs == 0 ? UnknownResponseMs : Candidate.ResponseMs;
   const double WarmupFactor =
       Now < Candidate.WarmupEndsAt ? WarmupCostFactor : 1.0;
   const double SuspicionFactor =
@@ -125,12 +144,14 @@
 Placement placeFlow(std::span<Server *const> Servers,
                     const PlacementContext &Context, RandomEngine &Random) {
   const TimePoint Now = Context.Now;
+  const ServiceSummary Service = summarize(Servers, Context);
   const auto ChooseFrom = [&](auto Accept) {
-    return cheapest(Servers, Now, Random, [&](const Server &Candidate) {
-      return Accept(Candidate) && !wasTried(Candidate, Context);
-    });
+    return cheapest(Servers, Service.UnknownResponseMs, Now, Random,
+                    [&](const Server &Candidate) {
+                      return Accept(Candidate) && !wasTried(Candidate, Context);
+                    });
   };
-  if (randomUnit(Random) < ownDomainShare(Servers, Context))
+  if (randomUnit(Random) < ownDomainShare(Service, Context.DomainCount))
     if (Server *Found = ChooseFrom([&](const Server &Candidate) {
           return isUsable(Candidate) &&
                  Candidate.Record.Domain == Context.Domain;
--- a/packages/forwarding/src/buckthorndeck/forwarding/Placement.h
+++ b/packages/forwarding/src/buckthorndeck/forwarding/Placement.h
@@ -48,8 +48,9 @@
 
 //! Cost of one more flow: established flows, weighted by the observed response
 //! time and divided by slots, with a higher weight during slow start and
-//! suspicion.
-double placementCost(const Server &Candidate, TimePoint Now);
+//! suspicion. UnknownResponseMs is assumed before the first response.
+double placementCost(const Server &Candidate, double UnknownResponseMs,
+                     TimePoint Now);
 
 } // namespace buckthorndeck::forwarding
 
--- a/packages/forwarding/tests/PlacementTests.cpp
+++ b/packages/forwarding/tests/PlacementTests.cpp
@@ -103,6 +103,27 @@
   CHECK(FlowsPlaced <= 4);
 }
 
+TEST_CASE("A new server of a slow service does not get the next flow of every "
+          "host",
+          "[placement]") {
+  // Load pattern: all hosts of a failure domain learn of a new server at the
+  // same moment. If they expect it to be faster than the servers that they
+  // know, the next flows of all of them meet at its two slots.
+  constexpr unsigned Hosts = 24;
+  constexpr unsigned KnownServers = 20;
+  unsigned OnNewServer = 0;
+  for (unsigned Host = 0; Host < Hosts; ++Host) {
+    PlacementFixture Site;
+    Site.Random.seed(Host);
+    for (unsigned Number = 0; Number < KnownServers; ++Number)
+      Site.add(Number, "north").ResponseMs = 80 + Number % 2;
+    const Server &New = Site.add(99, "north");
+    OnNewServer += Site.place().Chosen == &New ? 1 : 0;
+  }
+  // Its slots take two requests and its queue eight.
+  CHECK(OnNewServer <= 10);
+}
+
 TEST_CASE(
     "Draining, unhealthy, unresponsive and removed servers get no new flows "
     "while another server is usable",
