Registry: one call reads servers and configuration

Cause: each start read the servers and the configuration with a call each.

Change: one range over all keys, as the watch already uses. A host reports that it is ready only after the whole registry is read, since routes now come with the first page.

--- a/packages/entryhost/src/buckthorndeck/entryhost/PacketHost.cpp
+++ b/packages/entryhost/src/buckthorndeck/entryhost/PacketHost.cpp
@@ -151,7 +151,7 @@
 }
 
 bool PacketHost::Impl::isReady() const {
-  return !Stopping && PacketForwarder.ready(Clock::now());
+  return !Stopping && Registry.loaded() && PacketForwarder.ready(Clock::now());
 }
 
 void PacketHost::Impl::sendReset(const FlowKey &Flow, std::uint32_t Sequence) {
--- a/packages/entryhost/tests/PacketHostTests.cpp
+++ b/packages/entryhost/tests/PacketHostTests.cpp
@@ -61,25 +61,21 @@
 //! A registry with one server and one route that never changes.
 RegistrySource fixedSource(const ServerRecord &Only) {
   RegistrySource Source;
-  Source.ReadServers = [Only](std::string) -> Task<Expected<RegistryPage>> {
+  Source.ReadPage = [Only](std::string) -> Task<Expected<RegistryPage>> {
     RegistryPage Page;
     Page.Changes.AsOf = StoreRevision(1);
     ServerChange Entry{.Name = Only.Name, .Revision = StoreRevision(1)};
     Entry.Record = Only;
     Page.Changes.Servers.push_back(Entry);
-    co_return Page;
-  };
-  Source.ReadRoutes = []() -> Task<Expected<RegistryChanges>> {
-    RegistryChanges Changes;
     RouteSet Routes;
     Routes.Version = ConfigVersion(1);
-    Route Entry;
-    Entry.Address = ServiceAddressOfTest;
-    Entry.Services.resize(1);
-    Entry.Services[0].Service = Floor;
-    Routes.Routes.push_back(Entry);
-    Changes.Routes = Routes;
-    co_return Changes;
+    Route Only;
+    Only.Address = ServiceAddressOfTest;
+    Only.Services.resize(1);
+    Only.Services[0].Service = Floor;
+    Routes.Routes.push_back(Only);
+    Page.Changes.Routes = Routes;
+    co_return Page;
   };
   Source.Watch = [](StoreRevision,
                     Milliseconds Wait) -> Task<Expected<RegistryChanges>> {
--- a/packages/forwarding/src/buckthorndeck/forwarding/Registry.h
+++ b/packages/forwarding/src/buckthorndeck/forwarding/Registry.h
@@ -31,7 +31,7 @@
   std::size_t Bytes = 0; //!< Size of the store's answer.
 };
 
-//! One page of the registry's entries.
+//! One page of the store's keys.
 struct RegistryPage {
   RegistryChanges Changes;
   //! Start of the next page; no value on the last page.
@@ -45,8 +45,8 @@
  * the history since the given revision.
  */
 struct RegistrySource {
-  std::function<Task<Expected<RegistryPage>>(std::string From)> ReadServers;
-  std::function<Task<Expected<RegistryChanges>>()> ReadRoutes;
+  //! Reads servers and configuration. The first page is the one from "".
+  std::function<Task<Expected<RegistryPage>>(std::string From)> ReadPage;
   //! Changes after a revision. Waits up to Wait for the first one.
   std::function<Task<Expected<RegistryChanges>>(StoreRevision After,
                                                 Milliseconds Wait)>
--- a/packages/forwarding/src/buckthorndeck/forwarding/RegistryReader.cpp
+++ b/packages/forwarding/src/buckthorndeck/forwarding/RegistryReader.cpp
@@ -190,28 +190,12 @@
   }
 }
 
-Task<bool> RegistryReader::readRoutes() {
-  Expected<RegistryChanges> Changes = co_await Source.ReadRoutes();
-  if (!Changes && Changes.error().Code == ErrorCode::NotFound) {
-    // No configuration is published yet; the watch will return the first one.
-    recordCallResult(std::nullopt);
-    co_return true;
-  }
-  if (!Changes) {
-    recordCallResult(Changes.error());
-    co_return false;
-  }
-  recordCallResult(std::nullopt);
-  apply(*Changes);
-  co_return true;
-}
-
 //! Reads a page. Retries a page other than the first, and any page that the
 //! store refuses because of its rate limit: when all hosts start at once,
 //! restarting the whole read would only add load.
 Task<Expected<RegistryPage>> RegistryReader::readPage(std::string From) {
   for (unsigned Attempt = 0;; ++Attempt) {
-    Expected<RegistryPage> Page = co_await Source.ReadServers(From);
+    Expected<RegistryPage> Page = co_await Source.ReadPage(From);
     if (Page) {
       recordCallResult(std::nullopt);
       co_return Page;
@@ -225,7 +209,9 @@
   }
 }
 
-Task<bool> RegistryReader::readServers() {
+//! Reads servers and routes from the store. Without a published configuration
+//! there are no routes; the watch returns the first one.
+Task<bool> RegistryReader::load() {
   const bool InitialLoad = !Loaded;
   const BootClock::time_point Started = BootClock::now();
   std::vector<std::string> PresentNames;
@@ -257,16 +243,6 @@
   View = {.AsOf = *FirstRevision,
           .HistoryStart = *FirstRevision,
           .VerifiedAt = Started};
-  co_return true;
-}
-
-Task<bool> RegistryReader::load() {
-  const bool HasServers = co_await readServers();
-  if (!HasServers)
-    co_return false;
-  const bool HasRoutes = co_await readRoutes();
-  if (!HasRoutes)
-    co_return false;
   if (!Loaded)
     markLoaded("store");
   co_return true;
--- a/packages/forwarding/src/buckthorndeck/forwarding/RegistryReader.h
+++ b/packages/forwarding/src/buckthorndeck/forwarding/RegistryReader.h
@@ -87,8 +87,6 @@
   Task<bool> load();
   Task<bool> loadFromPeer();
   Task<> requestPeerSnapshots();
-  Task<bool> readRoutes();
-  Task<bool> readServers();
   Task<Expected<RegistryPage>> readPage(std::string From);
   Task<> watchChanges();
   Task<bool> watchStore();
--- a/packages/forwarding/tests/RegistryReaderTests.cpp
+++ b/packages/forwarding/tests/RegistryReaderTests.cpp
@@ -24,10 +24,7 @@
 
   RegistrySource source() {
     RegistrySource Calls;
-    Calls.ReadServers = [this](std::string From) {
-      return servers(std::move(From));
-    };
-    Calls.ReadRoutes = [this] { return routes(); };
+    Calls.ReadPage = [this](std::string From) { return page(std::move(From)); };
     Calls.Watch = [this](StoreRevision After, Milliseconds) {
       return watch(After);
     };
@@ -46,7 +43,7 @@
   }
 
   bool Down = false;
-  bool Unresponsive = false; //!< Reads of servers are not answered.
+  bool Unresponsive = false; //!< Reads are not answered.
   Milliseconds PageDelay{0};
   std::optional<RouteSet> Routes = makeRoutes(1);
   std::vector<ServerChange> Entries;
@@ -58,8 +55,8 @@
   std::vector<StoreRevision> Watches;
 
 private:
-  //! Each page has one entry.
-  Task<Expected<RegistryPage>> servers(std::string From) {
+  //! Each page has one entry, and the first one the configuration.
+  Task<Expected<RegistryPage>> page(std::string From) {
     Loads += From.empty() ? 1 : 0;
     ++PageReads;
     Changed.notifyAll();
@@ -73,6 +70,8 @@
       co_return Unexpected(makeError(Failure));
     RegistryPage Page;
     Page.Changes.AsOf = Revision;
+    if (From.empty())
+      Page.Changes.Routes = Routes;
     const std::size_t Index = From.empty() ? 0 : std::stoul(From);
     if (Index < Entries.size())
       Page.Changes.Servers.push_back(Entries[Index]);
@@ -81,15 +80,6 @@
     co_return Page;
   }
 
-  Task<Expected<RegistryChanges>> routes() {
-    if (!Routes)
-      co_return Unexpected(makeError(ErrorCode::NotFound));
-    RegistryChanges Changes;
-    Changes.Routes = *Routes;
-    Changes.AsOf = Revision;
-    co_return Changes;
-  }
-
   Task<Expected<RegistryChanges>> watch(StoreRevision After) {
     Watches.push_back(After);
     Changed.notifyAll();
@@ -150,6 +140,17 @@
   CHECK(Site.Host.routes().version() == ConfigVersion(1));
 }
 
+TEST_CASE("A host that starts makes one call before its first watch",
+          "[registry_reader]") {
+  // Load pattern: all hosts of a large fleet lose power and start at once. A
+  // second call for the configuration doubled the calls of that second.
+  ReaderFixture Site;
+  Site.start();
+  runTask(Site.Context, Site.Store.waitWatches(1));
+  CHECK(Site.Store.PageReads == 1);
+  CHECK(Site.Reader.counters().StoreCalls == 1);
+}
+
 TEST_CASE(
     "A host that starts before the first configuration receives it by its "
     "watch",
--- a/packages/forwarding/tests/RegistryRelayTests.cpp
+++ b/packages/forwarding/tests/RegistryRelayTests.cpp
@@ -22,8 +22,7 @@
   //! set, its watches fail.
   RegistrySource source(unsigned &Watches, const bool &Refused) {
     RegistrySource Calls;
-    Calls.ReadServers = [this](std::string) { return readServers(); };
-    Calls.ReadRoutes = [this] { return readRoutes(); };
+    Calls.ReadPage = [this](std::string) { return readPage(); };
     Calls.Watch = [this, &Watches, &Refused](StoreRevision After,
                                              Milliseconds) {
       ++Watches;
@@ -41,9 +40,9 @@
   }
 
 private:
-  Task<Expected<RegistryPage>> readServers() {
+  Task<Expected<RegistryPage>> readPage() {
     RegistryPage Page;
-    Page.Changes.AsOf = Revision;
+    Page.Changes = changes();
     for (unsigned Number = 0; Number < ServerCount; ++Number)
       Page.Changes.Servers.push_back({.Name = makeServer(Number).Name,
                                       .Revision = StoreRevision(1),
@@ -51,8 +50,6 @@
     co_return Page;
   }
 
-  Task<Expected<RegistryChanges>> readRoutes() { co_return changes(); }
-
   Task<Expected<RegistryChanges>> watch(StoreRevision After,
                                         const bool &Refused) {
     if (Refused)
