Registry: hosts with a relay retry the store less often

A host with a relay needs no quick retry, since it gets changes as soon as it or its relay reaches the store.

Relays and hosts without one keep a second.

The new test fails without the change: 664 calls of seven followers while the relay makes 100, where at most 175 are allowed.

--- a/packages/forwarding/src/buckthorndeck/forwarding/RegistryReader.cpp
+++ b/packages/forwarding/src/buckthorndeck/forwarding/RegistryReader.cpp
@@ -30,6 +30,8 @@
 constexpr int RelayTimeoutDivisor = 2;
 //! Oldest view that a relay passes on, likewise.
 constexpr int MaxRelayedAgeDivisor = 2;
+//! Longest backoff of a host with a relay, likewise.
+constexpr int FollowerBackoffDivisor = 2;
 //! Relays that are asked before the store is.
 constexpr unsigned MaxRelayAttempts = 2;
 //! The store usually answers within tens of ms. If it has not answered by then,
@@ -297,6 +299,17 @@
   return Relays.hasRelays() || KnownPeers != Peers.size();
 }
 
+//! Backoff after a failed watch.
+config::BackoffOptions RegistryReader::watchBackoff() const {
+  config::BackoffOptions Result = Options.Backoff;
+  // A host with a relay gets changes from it as soon as one of both reaches the
+  // store.
+  if (Relays.hasRelays() && !Relays.isRelay())
+    Result.Max =
+        std::max(Result.Max, Options.FreshnessLimit / FollowerBackoffDivisor);
+  return Result;
+}
+
 //! Watches the store once. Returns false if it no longer has the history since
 //! the view's revision.
 Task<bool> RegistryReader::watchStore() {
@@ -312,7 +325,7 @@
     StoreFailed = true;
     Relay.recordAttempt();
     co_await pause(
-        config::backoffDelay(Options.Backoff, ConsecutiveFailures - 1, Random));
+        config::backoffDelay(watchBackoff(), ConsecutiveFailures - 1, Random));
     co_return Changes.error().Code != ErrorCode::Expired;
   }
   recordCallResult(std::nullopt);
--- a/packages/forwarding/src/buckthorndeck/forwarding/RegistryReader.h
+++ b/packages/forwarding/src/buckthorndeck/forwarding/RegistryReader.h
@@ -97,6 +97,7 @@
                                         BootClock::time_point Asked) const;
   Milliseconds relayTimeout() const;
   bool watchesBriefly() const;
+  config::BackoffOptions watchBackoff() const;
   void apply(RegistryChanges &Changes);
   void markLoaded(const std::string &From);
   void recordCallResult(std::optional<Error> Failure);
--- a/packages/forwarding/src/buckthorndeck/forwarding/RelaySelection.cpp
+++ b/packages/forwarding/src/buckthorndeck/forwarding/RelaySelection.cpp
@@ -30,6 +30,19 @@
   return Known.domainPeers().size() + 1 >= MinDomainHosts;
 }
 
+std::size_t RelaySelection::relayCount() const {
+  return 1 + (Known.domainPeers().size() + 1) / HostsPerRelay;
+}
+
+bool RelaySelection::isRelay() const {
+  const std::vector<const Peer *> Others = Known.domainPeers();
+  const auto Earlier = static_cast<std::size_t>(
+      std::count_if(Others.begin(), Others.end(), [&](const Peer *Other) {
+        return comesBefore(*Other, Known.self());
+      }));
+  return hasRelays() && Earlier < relayCount();
+}
+
 bool RelaySelection::hasFailed(const Peer &Candidate, TimePoint Now) const {
   const auto Found = FailedUntil.find(Candidate.Name.value());
   return Found != FailedUntil.end() && Now < Found->second;
@@ -40,11 +53,10 @@
     return std::nullopt;
   std::vector<const Peer *> Hosts = Known.domainPeers();
   Hosts.push_back(&Known.self());
-  const std::size_t RelayCount = 1 + Hosts.size() / HostsPerRelay;
   std::erase_if(Hosts, [&](const Peer *Host) { return hasFailed(*Host, Now); });
   const auto RelaysEnd =
       Hosts.begin() +
-      static_cast<std::ptrdiff_t>(std::min(RelayCount, Hosts.size()));
+      static_cast<std::ptrdiff_t>(std::min(relayCount(), Hosts.size()));
   std::partial_sort(Hosts.begin(), RelaysEnd, Hosts.end(),
                     [](const Peer *First, const Peer *Second) {
                       return comesBefore(*First, *Second);
--- a/packages/forwarding/src/buckthorndeck/forwarding/RelaySelection.h
+++ b/packages/forwarding/src/buckthorndeck/forwarding/RelaySelection.h
@@ -21,12 +21,15 @@
 
   //! Whether the failure domain has so many hosts that relays save calls.
   bool hasRelays() const;
+  //! Whether other hosts rely on this one.
+  bool isRelay() const;
   //! The relay of this host. No value if this host should read the store.
   std::optional<Peer> choose(TimePoint Now) const;
   //! Excludes the relay for some time.
   void markFailed(const EntryHostName &Relay, TimePoint Now);
 
 private:
+  std::size_t relayCount() const;
   bool hasFailed(const Peer &Candidate, TimePoint Now) const;
 
   const PeerDirectory &Known;
--- a/packages/forwarding/tests/RegistryRelayTests.cpp
+++ b/packages/forwarding/tests/RegistryRelayTests.cpp
@@ -257,3 +257,26 @@
   }(Fleet, Published));
   CHECK(Fleet.watchesOfFollowers() > 0);
 }
+
+TEST_CASE("While the store is down, hosts with a relay ask it less often than "
+          "the relay",
+          "[registry_relay]") {
+  // Load pattern: an outage of the store under a large fleet. Its first calls
+  // after the outage otherwise compete with those of every host.
+  RelayFleet Fleet(8);
+  Fleet.start();
+  for (const auto &Host : Fleet.Hosts)
+    Host->StoreRefuses = true;
+  Fleet.Store.publish();
+  const unsigned Before = Fleet.watchesOfFollowers();
+  constexpr unsigned RelayCalls = 100;
+  runTask(Fleet.Context, [](RelayFleet &Site) -> Task<> {
+    while (Site.Hosts[0]->Watches < RelayCalls)
+      co_await sleepFor(Milliseconds(1));
+  }(Fleet));
+  const auto Followers = static_cast<unsigned>(Fleet.Hosts.size() - 1);
+  CHECK(Fleet.watchesOfFollowers() - Before < Followers * RelayCalls / 4);
+  for (const auto &Host : Fleet.Hosts)
+    Host->StoreRefuses = false;
+  Fleet.waitInForce(Fleet.Store.publish());
+}
--- a/packages/forwarding/tests/RelaySelectionTests.cpp
+++ b/packages/forwarding/tests/RelaySelectionTests.cpp
@@ -66,7 +66,12 @@
     const PeerDirectory Known = knownTo(Self, 100);
     CHECK(Relays.contains(makeHost(Self).Name.value()));
     CHECK_FALSE(RelaySelection(Known).choose(Start));
+    CHECK(RelaySelection(Known).isRelay());
   }
+  const PeerDirectory Follower = knownTo(3, 100);
+  CHECK_FALSE(RelaySelection(Follower).isRelay());
+  const PeerDirectory SmallDomain = knownTo(0, 3);
+  CHECK_FALSE(RelaySelection(SmallDomain).isRelay());
 }
 
 TEST_CASE("A relay that failed is replaced by the next host for some time",
