Settings: the time to drain a server limits how long a host relies on its relay

Cause: how soon a change must be read was taken from the time to apply a configuration alone. On the known deployments a draining server has the same time; on another one a host could still send it flows.

Change: the setting drain_within_ms; the shorter of both times counts. After a failed call to the store one relay is asked before the next call instead of two, so that two silent relays do not delay it by 4 s.

Result: a test computes the worst case of both settings; it passes for the bounds of the known deployments and for a shorter and a longer drain.

--- a/packages/entryhost/src/buckthorndeck/entryhost/PacketSettings.cpp
+++ b/packages/entryhost/src/buckthorndeck/entryhost/PacketSettings.cpp
@@ -69,6 +69,9 @@
     "apply_within_ms": {"type": "integer", "minimum": 100, "maximum": 600000,
       "default": 3000,
       "description": "ms within which a change in the store must be in force; half of it separates a change from the next watch, so that one call reads several changes; after two thirds of it without news from a relay, a host asks the store"},
+    "drain_within_ms": {"type": "integer", "minimum": 100, "maximum": 600000,
+      "default": 600000,
+      "description": "ms within which a server that the store says is draining must get no new flows; the shorter one of this and apply_within_ms counts for both"},
     "processor_share": {"type": "number", "minimum": 0, "maximum": 1000,
       "default": 0,
       "description": "share of a processor that this host may use; the hosts with the largest share of a failure domain pass changes of the store on to the others; 0 if unknown"},
@@ -106,10 +109,12 @@
   Result.WatchWait = std::max(
       MinWatchWait, Milliseconds(Reader.value<unsigned>("detect_within_ms")) -
                         Result.StoreTimeout - WatchMargin);
-  Result.ChangePause = Milliseconds(Reader.value<unsigned>("apply_within_ms")) /
-                       ChangePauseDivisor;
-  Result.FreshnessLimit = std::chrono::duration_cast<Milliseconds>(
-      FreshnessShare * Milliseconds(Reader.value<unsigned>("apply_within_ms")));
+  const Milliseconds ApplyWithin(
+      std::min(Reader.value<unsigned>("apply_within_ms"),
+               Reader.value<unsigned>("drain_within_ms")));
+  Result.ChangePause = ApplyWithin / ChangePauseDivisor;
+  Result.FreshnessLimit =
+      std::chrono::duration_cast<Milliseconds>(FreshnessShare * ApplyWithin);
   Result.RelayWait = Result.FreshnessLimit / RelayWaitDivisor;
   Result.RelayPause = Result.FreshnessLimit / RelayPauseDivisor;
   Result.ProcessorPermille = static_cast<std::uint32_t>(
--- a/packages/entryhost/tests/PacketSettingsTests.cpp
+++ b/packages/entryhost/tests/PacketSettingsTests.cpp
@@ -3,6 +3,7 @@
 #include "SettingsFile.h"
 #include "buckthorndeck/entryhost/SettingsReader.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <sstream>
 
@@ -52,6 +53,29 @@
   CHECK(Loaded->WatchWait + Loaded->StoreTimeout < Milliseconds(5000));
 }
 
+TEST_CASE("A change that a relay fails to pass on is in force within both "
+          "apply_within_ms and drain_within_ms",
+          "[settings]") {
+  // A host that relies on its relay for too long sends flows to servers that
+  // have been draining for longer than they serve.
+  for (const auto &[ApplyWithin, DrainWithin] :
+       {std::pair(3000, 3000), std::pair(6000, 6000), std::pair(6000, 3000),
+        std::pair(3000, 9000)}) {
+    Json Settings = validSettings();
+    Settings["apply_within_ms"] = ApplyWithin;
+    Settings["drain_within_ms"] = DrainWithin;
+    const SettingsFile File(Settings.dump());
+    const auto Loaded = loadPacketSettings(File.Path);
+    REQUIRE(Loaded);
+    const Milliseconds Shorter(std::min(ApplyWithin, DrainWithin));
+    CHECK(Loaded->ChangePause < Shorter);
+    CHECK(Loaded->FreshnessLimit + Loaded->StoreTimeout < Shorter);
+    // A relay that works must not be given up.
+    CHECK(3 * Loaded->RelayWait + 2 * Loaded->RelayPause <
+          Loaded->FreshnessLimit);
+  }
+}
+
 TEST_CASE("The error for a wrong or missing packet setting names it",
           "[settings]") {
   struct TestCase {
@@ -71,6 +95,8 @@
                             {"internal_ports", Json::array()},
                             {"seeds", {"nobody"}},
                             {"flow_lifetime_s", 0},
+                            {"drain_within_ms", 0},
+                            {"processor_share", -1},
                             {"log_level", "loud"}};
   for (const TestCase &Case : Cases) {
     INFO(Case.Field);
--- a/packages/forwarding/src/buckthorndeck/forwarding/RegistryReader.cpp
+++ b/packages/forwarding/src/buckthorndeck/forwarding/RegistryReader.cpp
@@ -25,15 +25,16 @@
 constexpr std::size_t MaxLoggedChanges = 20;
 //! Peers in the own failure domain answer within milliseconds.
 constexpr Milliseconds PeerTimeout{500};
-// Relays watch more often than other hosts, since many hosts wait for them.
 //! Longest call to a relay, as part of FreshnessLimit.
 constexpr int RelayTimeoutDivisor = 2;
 //! Oldest view that a relay passes on, likewise.
 constexpr int MaxRelayedAgeDivisor = 2;
 //! Longest backoff of a host with a relay, likewise.
 constexpr int FollowerBackoffDivisor = 2;
-//! Relays that are asked before the store is.
+//! Relays that are asked in a row before the store is.
 constexpr unsigned MaxRelayAttempts = 2;
+//! The same once the store has failed, so that it is soon asked again.
+constexpr unsigned MaxRelayAttemptsWithoutStore = 1;
 //! The store usually answers within tens of ms. If it has not answered by then,
 //! a starting host also asks a peer, while packets still wait in the socket.
 constexpr Milliseconds PeerFallbackDelay{120};
@@ -302,8 +303,7 @@
 //! Backoff after a failed watch.
 config::BackoffOptions RegistryReader::watchBackoff() const {
   config::BackoffOptions Result = Options.Backoff;
-  // A host with a relay gets changes from it as soon as one of both reaches the
-  // store.
+  // A host with a relay gets changes as soon as either reaches the store.
   if (Relays.hasRelays() && !Relays.isRelay())
     Result.Max =
         std::max(Result.Max, Options.FreshnessLimit / FollowerBackoffDivisor);
@@ -356,7 +356,9 @@
 
 //! Asks relays for changes. Returns whether one answered.
 Task<bool> RegistryReader::followRelays() {
-  for (unsigned Attempt = 0; Attempt < MaxRelayAttempts; ++Attempt) {
+  const unsigned Attempts =
+      StoreFailed ? MaxRelayAttemptsWithoutStore : MaxRelayAttempts;
+  for (unsigned Attempt = 0; Attempt < Attempts; ++Attempt) {
     const std::optional<Peer> Followed = Relays.choose(Clock::now());
     const Milliseconds Timeout = relayTimeout();
     if (!Followed || Timeout.count() == 0)
