--- a/packages/forwarding/src/buckthorndeck/forwarding/RegistryReader.cpp
+++ b/packages/forwarding/src/buckthorndeck/forwarding/RegistryReader.cpp
@@ -122,11 +122,12 @@
       Where(Where), Wake(std::make_shared<Notifier>(Where)),
       LoadedOrStopped(std::make_shared<Notifier>(Where)),
       Random(Options.RandomSeed),
-      Relay(Where, View, Target, maxRelayedAge(Options)), Relays(Peers) {}
+      ServedChanges(Where, View, Target, maxRelayedAge(Options)),
+      Relays(Peers) {}
 
 void RegistryReader::stop() {
   Stopped = true;
-  Relay.stop();
+  ServedChanges.stop();
   Wake->notifyAll();
   LoadedOrStopped->notifyAll();
 }
@@ -278,8 +279,10 @@
   if (Loaded || Changes->AsOf < View.AsOf ||
       Changes->Routes->Version == ConfigVersion())
     co_return false;
-  // The snapshot does not say how old it is: VerifiedAt stays at the epoch.
-  View = {.AsOf = Changes->AsOf, .HistoryStart = Changes->AsOf};
+  // The snapshot does not say how old it is.
+  View = {.AsOf = Changes->AsOf,
+          .HistoryStart = Changes->AsOf,
+          .VerifiedAt = NeverVerified};
   apply(*Changes);
   LoadedFromPeer = true;
   markLoaded(Provider->Name.value());
@@ -326,7 +329,7 @@
   if (!Changes) {
     recordCallResult(Changes.error());
     StoreFailed = true;
-    Relay.recordAttempt();
+    ServedChanges.recordAttempt();
     co_await pause(
         config::backoffDelay(watchBackoff(), ConsecutiveFailures - 1, Random));
     co_return Changes.error().Code != ErrorCode::Expired;
@@ -339,7 +342,7 @@
   const bool Truncated = mayBeTruncated(*Changes);
   if (!Truncated)
     View.VerifiedAt = Started;
-  Relay.recordAttempt();
+  ServedChanges.recordAttempt();
   if (Changes->Events > 0 && !Truncated)
     co_await pause(watchesBriefly() ? Options.RelayPause : Options.ChangePause);
   co_return true;
@@ -419,7 +422,7 @@
     ++Counters.RelayFailures;
     logRelayFailed(Followed, Received.error(), ageOf(View));
     Relays.markFailed(Followed.Name, Clock::now());
-    Relay.recordAttempt();
+    ServedChanges.recordAttempt();
     co_return false;
   }
   if (Received->Changes.Events > 0 || FollowedRelay != Followed.Name.value())
@@ -429,7 +432,7 @@
   View.AsOf = Received->Changes.AsOf;
   View.VerifiedAt = std::max(View.VerifiedAt, Asked - Received->Age);
   StoreFailed = false;
-  Relay.recordAttempt();
+  ServedChanges.recordAttempt();
   co_return true;
 }
 
--- a/packages/forwarding/src/buckthorndeck/forwarding/RegistryReader.h
+++ b/packages/forwarding/src/buckthorndeck/forwarding/RegistryReader.h
@@ -66,7 +66,7 @@
   Bytes snapshot() const;
   //! Answers a peer that has this host as its relay.
   Task<HttpResponse> answerChanges(ChangeQuery Query) {
-    return Relay.answer(Query);
+    return ServedChanges.answer(Query);
   }
   void stop();
   //! Ends the current pause, at most once per second.
@@ -112,8 +112,8 @@
   std::shared_ptr<Notifier> LoadedOrStopped;
   RandomEngine Random;
   RegistryView View;
-  ChangeRelay Relay;
-  RelaySelection Relays;
+  ChangeRelay ServedChanges; //!< For the hosts that follow this one.
+  RelaySelection Relays;     //!< Those that this host follows.
   std::string FollowedRelay; //!< Name of the last relay that answered.
   TimePoint LastAnswerAt;
   TimePoint LastRefreshAt;
--- a/packages/forwarding/src/buckthorndeck/forwarding/RegistryView.h
+++ b/packages/forwarding/src/buckthorndeck/forwarding/RegistryView.h
@@ -6,6 +6,10 @@
 
 namespace buckthorndeck::forwarding {
 
+//! For a view that was never confirmed. The boot clock starts at 0, so that
+//! this is never recent.
+inline constexpr BootClock::time_point NeverVerified{-std::chrono::hours(24)};
+
 //! Which changes in the platform's store a host has applied.
 struct RegistryView {
   //! Every change up to here is applied.
@@ -15,7 +19,7 @@
   StoreRevision HistoryStart;
   //! The store had no change after AsOf at this time. Uses the boot clock, so
   //! that a host that was suspended does not pass on old data as fresh.
-  BootClock::time_point VerifiedAt;
+  BootClock::time_point VerifiedAt = NeverVerified;
 };
 
 //! Time since View was known to be complete.
--- a/packages/forwarding/src/buckthorndeck/forwarding/RelayedChanges.cpp
+++ b/packages/forwarding/src/buckthorndeck/forwarding/RelayedChanges.cpp
@@ -93,18 +93,16 @@
   const Json *Removed = Fields.array("removed", MaxServers);
   if (Fields.failed())
     return Unexpected(Fields.error());
-  for (const Json &Value : *Updated) {
-    auto Change = decodeServer(Value, Step, Source);
-    if (!Change)
-      return Unexpected(Change.error());
-    Result.Changes.Servers.push_back(std::move(*Change));
-  }
-  for (const Json &Value : *Removed) {
-    auto Change = decodeRemoval(Value, Source);
-    if (!Change)
-      return Unexpected(Change.error());
-    Result.Changes.Servers.push_back(std::move(*Change));
-  }
+  auto Failure = decodeElements(
+      *Updated,
+      [&](const Json &Each) { return decodeServer(Each, Step, Source); },
+      Result.Changes.Servers);
+  if (!Failure)
+    Failure = decodeElements(
+        *Removed, [&](const Json &Each) { return decodeRemoval(Each, Source); },
+        Result.Changes.Servers);
+  if (Failure)
+    return Unexpected(*Failure);
   if (Document->contains("routes")) {
     auto Routes = decodeRoutes((*Document)["routes"], Step, Source);
     if (!Routes)
--- a/packages/forwarding/src/buckthorndeck/forwarding/Snapshot.cpp
+++ b/packages/forwarding/src/buckthorndeck/forwarding/Snapshot.cpp
@@ -40,12 +40,12 @@
   const Json *ServerList = Fields.array("servers", MaxServers);
   if (Fields.failed())
     return Unexpected(Fields.error());
-  for (const Json &Value : *ServerList) {
-    auto Change = decodeServer(Value, Step, Source);
-    if (!Change)
-      return Unexpected(Change.error());
-    Changes.Servers.push_back(std::move(*Change));
-  }
+  const auto Failure = decodeElements(
+      *ServerList,
+      [&](const Json &Each) { return decodeServer(Each, Step, Source); },
+      Changes.Servers);
+  if (Failure)
+    return Unexpected(*Failure);
   auto Routes = decodeRoutes(*Document, Step, Source);
   if (!Routes)
     return Unexpected(Routes.error());
--- a/packages/forwarding/src/buckthorndeck/forwarding/internal/RegistryFields.cpp
+++ b/packages/forwarding/src/buckthorndeck/forwarding/internal/RegistryFields.cpp
@@ -128,18 +128,17 @@
   const Json *Rules = Fields.array("health_rules", MaxRoutes);
   if (Fields.failed())
     return Unexpected(Fields.error());
-  for (const Json &RouteValue : *RouteList) {
-    auto Decoded = decodeRoute(RouteValue, Step, Source);
-    if (!Decoded)
-      return Unexpected(Decoded.error());
-    Result.Routes.push_back(std::move(*Decoded));
-  }
-  for (const Json &RuleValue : *Rules) {
-    auto Decoded = decodeHealthRule(RuleValue, Step, Source);
-    if (!Decoded)
-      return Unexpected(Decoded.error());
-    Result.HealthRules.push_back(std::move(*Decoded));
-  }
+  auto Failure = decodeElements(
+      *RouteList,
+      [&](const Json &Each) { return decodeRoute(Each, Step, Source); },
+      Result.Routes);
+  if (!Failure)
+    Failure = decodeElements(
+        *Rules,
+        [&](const Json &Each) { return decodeHealthRule(Each, Step, Source); },
+        Result.HealthRules);
+  if (Failure)
+    return Unexpected(*Failure);
   return Result;
 }
 
--- a/packages/forwarding/src/buckthorndeck/forwarding/internal/RegistryFields.h
+++ b/packages/forwarding/src/buckthorndeck/forwarding/internal/RegistryFields.h
@@ -4,12 +4,30 @@
 #include "buckthorndeck/base/Json.h"
 #include "buckthorndeck/forwarding/Registry.h"
 
+#include <optional>
+#include <utility>
+#include <vector>
+
 //! Encoding of servers and routes in messages between entry hosts.
 //!
 //! Decoders fail with ErrorCode::Invalid. Step and Source, the name of the host
 //! that encoded the message, appear in the error.
 namespace buckthorndeck::forwarding {
 
+//! Decodes each element of List, and adds it to Result. Returns the first
+//! error.
+template <typename Element, typename Decoder>
+std::optional<Error> decodeElements(const Json &List, Decoder Decode,
+                                    std::vector<Element> &Result) {
+  for (const Json &Value : List) {
+    auto Decoded = Decode(Value);
+    if (!Decoded)
+      return Decoded.error();
+    Result.push_back(std::move(*Decoded));
+  }
+  return std::nullopt;
+}
+
 Json encodeServer(const Server &Backend, TimePoint Now);
 Expected<ServerChange> decodeServer(const Json &Value, const std::string &Step,
                                     const std::string &Source);
--- a/packages/forwarding/tests/ChangeRelayTests.cpp
+++ b/packages/forwarding/tests/ChangeRelayTests.cpp
@@ -88,6 +88,18 @@
   CHECK(Fixture.Answer->Status == 200);
 }
 
+TEST_CASE("A host that knows the registry from a snapshot alone passes nothing "
+          "on",
+          "[change_relay]") {
+  // Its machine may have started a second ago, so that the start of the clock
+  // is no old time.
+  RelayFixture Fixture;
+  Fixture.View.VerifiedAt = RegistryView().VerifiedAt;
+  CHECK(ageOf(Fixture.View) >= std::chrono::hours(24));
+  Fixture.ask(StoreRevision(18));
+  CHECK_FALSE(Fixture.Answer);
+}
+
 TEST_CASE("A relay refuses a peer whose view is newer than its own",
           "[change_relay]") {
   RelayFixture Fixture;
