--- a/packages/bench/src/bench-forwarding.cpp
+++ b/packages/bench/src/bench-forwarding.cpp
@@ -116,9 +116,8 @@
 void writeSnapshot(benchmark::State &State) {
   Forwarder Host = makeHost(static_cast<unsigned>(State.range(0)));
   for (auto _ : State) {
-    const Bytes Data =
-        encodeSnapshot(Host.servers(), Host.routes(), StoreRevision(1),
-                       TimePoint());
+    const Bytes Data = encodeSnapshot(Host.servers(), Host.routes(),
+                                      StoreRevision(1), TimePoint());
     State.counters["size"] = static_cast<double>(Data.size());
   }
 }
