Entry host: SIGHUP does not end a host that is starting

Its log ends at 17:19:17.370, when the fault kill_host killed it; 0.3 s later it was started again, and the fault settings_reloaded, which had reached front-4 at 17.531 and front-6 at 17.829, sent it SIGHUP before it had a handler. The default action of SIGHUP ends the process.

Change: the program ignores SIGHUP from the start of main until a host handles it; without the command packets it is ignored for good. Before main nothing of the program runs, so that a signal then still ends it: the soak sends SIGHUP once all running hosts take packets. No other check is changed.

--- a/packages/entryhost/app/main.cpp
+++ b/packages/entryhost/app/main.cpp
@@ -199,6 +199,8 @@
 } // namespace
 
 int main(int Count, char **Values) {
+  // Until a host handles it, SIGHUP would end the process.
+  std::signal(SIGHUP, SIG_IGN);
   int Code = Success;
   const auto Parsed = parseArguments(Count, Values, Code);
   if (!Parsed)
--- a/packages/faults/src/buckthorndeck/faults/PacketFaults.cpp
+++ b/packages/faults/src/buckthorndeck/faults/PacketFaults.cpp
@@ -201,6 +201,10 @@
     if (Host.Busy || !Host.Process)
       continue;
     const Choice Chosen(Host.Busy);
+    // A signal ends a process that has not reached its main function.
+    const bool Ready = co_await Site.waitReady(Long);
+    if (!Ready)
+      continue;
     Json Changed = Host.Settings;
     Changed["log_level"] =
         randomBelow(Site.random(), 2) == 0 ? "debug" : "no level";
