--- a/packages/forwarding/src/buckthorndeck/forwarding/RegistryReader.cpp
+++ b/packages/forwarding/src/buckthorndeck/forwarding/RegistryReader.cpp
@@ -23,8 +23,9 @@
 //! level only, so as not to use up the line limit of the log. watch_answered
 //! gives the number of events.
 constexpr std::size_t MaxLoggedChanges = 20;
-//! Peers in the own failure domain answer within milliseconds.
-constexpr Milliseconds PeerTimeout{500};
+//! Peers in the own failure domain begin to answer within milliseconds.
+constexpr CallTimeouts PeerTimeouts{.Response = Milliseconds(500),
+                                    .Pause = Milliseconds(500)};
 //! Longest call to a relay, as part of FreshnessLimit.
 constexpr int RelayTimeoutDivisor = 2;
 //! Longest backoff of a host with a relay, likewise.
@@ -264,7 +265,7 @@
   HttpRequest Request;
   Request.Target = SnapshotPath;
   const Expected<HttpResponse> Answer =
-      co_await callHttp(Provider->Snapshot, std::move(Request), PeerTimeout);
+      co_await callHttp(Provider->Snapshot, std::move(Request), PeerTimeouts);
   if (!Answer || Answer->Status != 200) {
     logSnapshotFailed(*Provider, Answer);
     co_return false;
--- a/packages/forwarding/tests/RegistryReaderTests.cpp
+++ b/packages/forwarding/tests/RegistryReaderTests.cpp
@@ -2,6 +2,7 @@
 
 #include "RunTask.h"
 #include "Samples.h"
+#include "SlowResponder.h"
 #include "buckthorndeck/net/HttpServer.h"
 
 #include <catch2/catch.hpp>
@@ -356,3 +357,24 @@
   CHECK(Site.Host.servers().find(tokenOf(makeServer(4))) != nullptr);
   runTask(Site.Context, Site.Store.waitWatches(1));
 }
+
+TEST_CASE("A peer's snapshot may take long over a slow link",
+          "[registry_reader]") {
+  // Guards against a limit on the whole transfer: under a large configuration
+  // a host on a link of 10 Mbit/s would never start without the store.
+  ReaderFixture Site;
+  Site.Store.Down = true;
+  ReaderFixture Donor;
+  Donor.Host.applyRoutes(makeRoutes(8));
+  Donor.Host.updateServer(makeServer(4), StoreRevision(40), Start);
+  const SlowResponder Provider(Site.Context,
+                               std::string(toText(Donor.Reader.snapshot())),
+                               Milliseconds(150));
+  Site.Peers.update({.Sender = {.Name = EntryHostName("donor"),
+                                .Domain = FailureDomainName("north"),
+                                .Snapshot = Provider.endpoint()}},
+                    Clock::now());
+  Site.start();
+  runTask(Site.Context, Site.Reader.waitLoaded());
+  CHECK(Site.Host.routes().version() == ConfigVersion(8));
+}
--- a/packages/net/src/buckthorndeck/net/HttpClient.cpp
+++ b/packages/net/src/buckthorndeck/net/HttpClient.cpp
@@ -46,6 +46,11 @@
 
 Task<Expected<HttpResponse>> callHttp(TcpEndpoint Peer, HttpRequest Request,
                                       Milliseconds Timeout) {
+  return callHttp(Peer, std::move(Request), CallTimeouts{.Response = Timeout});
+}
+
+Task<Expected<HttpResponse>> callHttp(TcpEndpoint Peer, HttpRequest Request,
+                                      CallTimeouts Timeouts) {
   const std::string Step = Request.Method + " " + Request.Target;
   const auto Failed = [&](ErrorCode Code, const std::string &Message) {
     return Unexpected(Error{.Code = Code,
@@ -60,8 +65,8 @@
     co_return Failed(ErrorCode::Invalid, "unknown method");
 
   beast::tcp_stream Stream(co_await asio::this_coro::executor);
-  const TimePoint Deadline = Clock::now() + Timeout;
-  Stream.expires_after(std::min(Timeout, MaxConnectTime));
+  const TimePoint Deadline = Clock::now() + Timeouts.Response;
+  Stream.expires_after(std::min(Timeouts.Response, MaxConnectTime));
   auto [ConnectCode] =
       co_await Stream.async_connect(Peer, asio::as_tuple(asio::use_awaitable));
   if (ConnectCode)
@@ -82,10 +87,15 @@
   beast::flat_buffer Buffer;
   http::response_parser<http::string_body> Parser;
   Parser.body_limit(MaxResponseBytes);
-  auto [ReadCode, Read] = co_await http::async_read(
-      Stream, Buffer, Parser, asio::as_tuple(asio::use_awaitable));
-  if (ReadCode)
-    co_return Failed(ErrorCode::Timeout, ReadCode.message());
+  Parser.eager(true);
+  while (!Parser.is_done()) {
+    auto [ReadCode, Read] = co_await http::async_read_some(
+        Stream, Buffer, Parser, asio::as_tuple(asio::use_awaitable));
+    if (ReadCode)
+      co_return Failed(ErrorCode::Timeout, ReadCode.message());
+    if (Timeouts.Pause)
+      Stream.expires_after(*Timeouts.Pause);
+  }
   HttpResponse Response{.Status = Parser.get().result_int(),
                         .Body = std::move(Parser.get().body())};
   for (const auto &Field : Parser.get())
--- a/packages/net/src/buckthorndeck/net/HttpClient.h
+++ b/packages/net/src/buckthorndeck/net/HttpClient.h
@@ -6,8 +6,20 @@
 #include "buckthorndeck/net/HttpMessage.h"
 #include "buckthorndeck/net/Task.h"
 
+#include <optional>
+
 namespace buckthorndeck {
 
+//! Time limits of a call.
+struct CallTimeouts {
+  //! Until the response begins, from the start of the call.
+  Milliseconds Response;
+  //! Between two parts of the response. The time for a whole response depends
+  //! on its size and on the link, so that only a pause shows a failure. Without
+  //! a value, Response limits the whole call.
+  std::optional<Milliseconds> Pause;
+};
+
 /**
  * Sends one HTTP/1.1 request over a new connection and reads the response.
  *
@@ -15,6 +27,9 @@
  * effect; Invalid that the method is unknown; Timeout covers everything after
  * that, when it may have had one.
  */
+Task<Expected<HttpResponse>> callHttp(TcpEndpoint Peer, HttpRequest Request,
+                                      CallTimeouts Timeouts);
+//! The same with one limit for the whole call.
 Task<Expected<HttpResponse>> callHttp(TcpEndpoint Peer, HttpRequest Request,
                                       Milliseconds Timeout);
 
--- a/packages/net/tests/HttpTests.cpp
+++ b/packages/net/tests/HttpTests.cpp
@@ -2,6 +2,7 @@
 #include "buckthorndeck/net/HttpServer.h"
 
 #include "RunTask.h"
+#include "SlowResponder.h"
 #include "buckthorndeck/net/Notifier.h"
 
 #include <boost/asio/buffer.hpp>
@@ -195,3 +196,50 @@
   CHECK(First == 0);
   CHECK((Second != std::string::npos && Second > First));
 }
+
+namespace {
+
+//! A pause that a call with TransferTimeouts allows.
+constexpr Milliseconds PartPause{300};
+//! The whole response of a SlowResponder takes longer than either limit.
+constexpr CallTimeouts TransferTimeouts{.Response = Milliseconds(1000),
+                                        .Pause = Milliseconds(1000)};
+
+Expected<HttpResponse> callSlow(bool Stalls, CallTimeouts Timeouts) {
+  asio::io_context Context;
+  const SlowResponder Responder(Context, std::string(500'000, 'x'), PartPause,
+                                Stalls);
+  Expected<HttpResponse> Result;
+  runTask(Context,
+          [](TcpEndpoint Peer, CallTimeouts Timeouts,
+             Expected<HttpResponse> &Result) -> Task<> {
+            Result = co_await callHttp(Peer, HttpRequest(), Timeouts);
+          }(Responder.endpoint(), Timeouts, Result));
+  return Result;
+}
+
+} // namespace
+
+TEST_CASE("A response that keeps arriving is not cut off", "[http]") {
+  // Guards against limits on a whole transfer: a large response over a slow
+  // link was cut off at each attempt.
+  const auto Answer = callSlow(/*Stalls=*/false, TransferTimeouts);
+  REQUIRE(Answer);
+  CHECK(Answer->Body.size() == 500'000);
+}
+
+TEST_CASE("A response that stops arriving is given up", "[http]") {
+  const TimePoint Started = Clock::now();
+  const auto Answer = callSlow(/*Stalls=*/true, TransferTimeouts);
+  REQUIRE_FALSE(Answer);
+  CHECK(Answer.error().Code == ErrorCode::Timeout);
+  CHECK(Clock::now() - Started >= PartPause + *TransferTimeouts.Pause);
+}
+
+TEST_CASE("Without a limit on pauses, the response limit is for the whole call",
+          "[http]") {
+  const auto Answer =
+      callSlow(/*Stalls=*/false, {.Response = Milliseconds(700)});
+  REQUIRE_FALSE(Answer);
+  CHECK(Answer.error().Code == ErrorCode::Timeout);
+}
