Forwarder: flows with the token of a server's former process

Cause: the token in a SYN stands for a server's name and start time. Until a host reads the new entry it places flows with the former process's token, and the new process accepts them. Once the entry was known, the former process counted as replaced by another server, and each host reset its flows (packet_refused, reason=server_replaced).

Change: packets with a former process's token go to the process that was started again under its name at its address, which holds the flow or resets it itself. A late health check of the former process, which could reset the same flows, has no effect, nor has any other suspicion of it.

--- a/packages/forwarding/src/buckthorndeck/forwarding/Forwarder.cpp
+++ b/packages/forwarding/src/buckthorndeck/forwarding/Forwarder.cpp
@@ -133,6 +133,9 @@
     return refuse(PacketAction::Drop, PacketRefusal::UnknownToken, Header.Flow,
                   nullptr);
   }
+  // Before a host reads the new registry entry of a server that was started
+  // again, it places flows at the new process with the old token.
+  Target = &Servers.currentProcess(*Target);
   if (Header.Reset) {
     eraseFlow(Header.Flow);
   } else {
@@ -276,6 +279,7 @@
   Flow &Tracked = Found->second;
   if (Inserted) {
     Tracked = makeMidstreamFlow(Header, Now);
+    Tracked.Token = Target.Token;
     ++Target.Flows;
   }
   assign(Tracked, Target.Token);
@@ -333,7 +337,8 @@
 
 void Forwarder::suspect(Server &Target, const char *Cause, TimePoint Now) {
   if (Target.State != Reachability::Reachable ||
-      Now < Target.NextHealthCheckAt || Target.HealthCheckRunning)
+      Now < Target.NextHealthCheckAt || Target.HealthCheckRunning ||
+      !Servers.isLatest(Target))
     return;
   log(LogLevel::Info, "server_suspected",
       {{"server", Target.Record.Name},
@@ -378,6 +383,10 @@
   if (!Target)
     return;
   Target->HealthCheckRunning = false;
+  // The check may have failed before the process was started again. Flows with
+  // the old token may be open at the new process.
+  if (!Servers.isLatest(*Target))
+    return;
   const bool Failed = Outcome == HealthCheckOutcome::Refused ||
                       Outcome == HealthCheckOutcome::TimedOut ||
                       Outcome == HealthCheckOutcome::Replaced;
@@ -435,7 +444,7 @@
 
 void Forwarder::addFailureScore(Server &Target, unsigned Score, TimePoint Now) {
   Target.FailureScore += Score;
-  if (Target.State == Reachability::Unhealthy &&
+  if (Target.State == Reachability::Unhealthy && Servers.isLatest(Target) &&
       Target.FailureScore >= unresponsiveScoreLimit(Target.LastHealthCheck))
     markUnresponsive(Target, Now);
 }
--- a/packages/forwarding/src/buckthorndeck/forwarding/ServerDirectory.cpp
+++ b/packages/forwarding/src/buckthorndeck/forwarding/ServerDirectory.cpp
@@ -163,6 +163,14 @@
   return SameName != ByName.end() && SameName->second == &Backend;
 }
 
+Server &ServerDirectory::currentProcess(Server &Backend) const {
+  const auto SameName = ByName.find(Backend.Record.Name);
+  if (SameName == ByName.end() ||
+      SameName->second->Record.Address != Backend.Record.Address)
+    return Backend;
+  return *SameName->second;
+}
+
 bool ServerDirectory::isReplaced(const Server &Removed) const {
   const auto Found = ByAddress.find(toSocketAddress(Removed.Record.Address));
   return Found != ByAddress.end() && Found->second != &Removed &&
--- a/packages/forwarding/src/buckthorndeck/forwarding/ServerDirectory.h
+++ b/packages/forwarding/src/buckthorndeck/forwarding/ServerDirectory.h
@@ -105,6 +105,9 @@
   const std::vector<Server *> &serversOf(const ServiceName &Service) const;
   //! Whether Backend is the last process that was registered under its name.
   bool isLatest(const Server &Backend) const;
+  //! The process that gets the packets for Backend: itself, or the one that was
+  //! started again under its name at the same address.
+  Server &currentProcess(Server &Backend) const;
   //! Highest revision of a process that was erased.
   StoreRevision newestErased() const { return NewestErased; }
   //! Whether another process is registered at the address of Removed.
--- a/packages/forwarding/tests/ForwarderTests.cpp
+++ b/packages/forwarding/tests/ForwarderTests.cpp
@@ -395,3 +395,69 @@
   CHECK(Target.Flows == 0);
   CHECK(Site.Host.flowCount() == 0);
 }
+
+namespace {
+
+//! Registers the process that was started again under Former's name.
+Server &startAgain(ForwarderFixture &Site, const Server &Former) {
+  ServerRecord Record = Former.Record;
+  Record.StartTime = Incarnation(Record.StartTime.value() + 1000);
+  Site.Host.updateServer(Record, StoreRevision(90), Site.Now);
+  return *Site.Host.servers().find(tokenOf(Record));
+}
+
+} // namespace
+
+TEST_CASE("A flow that was placed before the restart of its server was known "
+          "is forwarded to the new process",
+          "[forwarder]") {
+  // Guards against resets of flows that are open at the new process: hosts
+  // place them with the token of the former one until they read the new entry.
+  ForwarderFixture Site;
+  Server &Former = Site.establishFlow(makeFlow(1));
+  const ServerToken OldToken = Former.Token;
+  const Server &Restarted = startAgain(Site, Former);
+  REQUIRE(Restarted.Token != OldToken);
+  // Another host placed this flow.
+  for (const std::uint16_t Port : {1, 2}) {
+    const PacketDecision Result =
+        Site.handle(makeData(makeFlow(Port), OldToken, 1001, 5000));
+    REQUIRE(Result.Action == PacketAction::Forward);
+    CHECK(Result.Target == &Restarted);
+  }
+  CHECK(Restarted.Flows == 2);
+}
+
+TEST_CASE("A server that is started again at another address does not get the "
+          "flows of its former process",
+          "[forwarder]") {
+  // A flow cannot move, and the new process would reset it although the former
+  // one may still serve it.
+  ForwarderFixture Site;
+  Server &Former = Site.establishFlow(makeFlow(1));
+  ServerRecord Moved = Former.Record;
+  Moved.StartTime = Incarnation(Moved.StartTime.value() + 1000);
+  Moved.Address.port(static_cast<std::uint16_t>(Moved.Address.port() + 1));
+  Site.Host.updateServer(Moved, StoreRevision(90), Site.Now);
+  const PacketDecision Result =
+      Site.handle(makeData(makeFlow(1), Former.Token, 1001, 5000));
+  REQUIRE(Result.Action == PacketAction::Forward);
+  CHECK(Result.Target == &Former);
+}
+
+TEST_CASE("A health check of a server's former process resets no flow",
+          "[forwarder]") {
+  // Guards against a check that failed while the server was down and ends after
+  // its new process has accepted flows with the former token.
+  ForwarderFixture Site;
+  Server &Former = Site.establishFlow(makeFlow(1));
+  const PacketHeader Request = makeData(makeFlow(1), Former.Token, 1001, 5000);
+  Site.handle(Request);
+  Site.Now += Milliseconds(200);
+  Site.handle(Request);
+  REQUIRE(Former.HealthCheckRunning);
+  startAgain(Site, Former);
+  finishHealthCheck(Site, Former, HealthCheckOutcome::TimedOut);
+  CHECK(Site.advance(Milliseconds(1)).Resets.empty());
+  CHECK(Site.handle(Request).Action == PacketAction::Forward);
+}
