Registry reader: the time of a failed watch counts toward the backoff

Cause: the wait of a watch is chosen so that a watch without response ends 200 ms before detect_within_ms, but up to 1 s of backoff followed it.

Change: the time that the failed watch took is taken off the backoff. A watch without response is repeated at once. A store that refuses calls at once gets no more of them than before.

--- a/packages/forwarding/src/buckthorndeck/forwarding/RegistryReader.cpp
+++ b/packages/forwarding/src/buckthorndeck/forwarding/RegistryReader.cpp
@@ -331,8 +331,13 @@
     recordCallResult(Changes.error());
     StoreFailed = true;
     ServedChanges.recordAttempt();
+    // The time of the failed call counts: a pause after a watch without
+    // response would make the view older than the wait of the watch allows for.
+    const auto Taken =
+        std::chrono::duration_cast<Milliseconds>(BootClock::now() - Started);
     co_await pause(
-        config::backoffDelay(watchBackoff(), ConsecutiveFailures - 1, Random));
+        config::backoffDelay(watchBackoff(), ConsecutiveFailures - 1, Random) -
+        Taken);
     co_return Changes.error().Code != ErrorCode::Expired;
   }
   recordCallResult(std::nullopt);
--- a/packages/forwarding/tests/RegistryReaderTests.cpp
+++ b/packages/forwarding/tests/RegistryReaderTests.cpp
@@ -237,6 +237,31 @@
   CHECK(Site.Store.Loads == 1);
 }
 
+TEST_CASE(
+    "A watch that failed after longer than the backoff is repeated at once",
+    "[registry_reader]") {
+  // Guards against a pause after a watch without response: hosts that the store
+  // had turned away had an old view for longer than detect_within_ms.
+  ReaderFixture Site(Milliseconds(1), Milliseconds(100));
+  Site.start();
+  runTask(Site.Context, Site.Store.waitWatches(1));
+  runTask(Site.Context, sleepFor(Site.Backoff + Milliseconds(20)));
+  Site.Store.answerWatch(Unexpected(makeError(ErrorCode::Timeout)));
+  runTask(Site.Context, sleepFor(Milliseconds(1)));
+  CHECK(Site.Store.Watches.size() == 2);
+}
+
+TEST_CASE("A watch that failed at once is repeated after the backoff",
+          "[registry_reader]") {
+  // A store that refuses calls would get them without a pause.
+  ReaderFixture Site(Milliseconds(1), std::chrono::hours(1));
+  Site.start();
+  runTask(Site.Context, Site.Store.waitWatches(1));
+  Site.Store.answerWatch(Unexpected(makeError(ErrorCode::Refused)));
+  Site.Context.poll();
+  CHECK(Site.Store.Watches.size() == 1);
+}
+
 TEST_CASE("A complete read of an older revision is not applied",
           "[registry_reader]") {
   ReaderFixture Site;
