--- a/packages/net/src/buckthorndeck/net/Endpoint.cpp
+++ b/packages/net/src/buckthorndeck/net/Endpoint.cpp
@@ -51,4 +51,11 @@
 std::string toString(const TcpEndpoint &Where) { return format(Where); }
 std::string toString(const UdpEndpoint &Where) { return format(Where); }
 
+bool isUnicast(const UdpEndpoint &Where) {
+  const auto Address = Where.address().to_v4();
+  return Where.port() != 0 && !Address.is_unspecified() &&
+         !Address.is_multicast() &&
+         Address != boost::asio::ip::address_v4::broadcast();
+}
+
 } // namespace buckthorndeck
--- a/packages/net/src/buckthorndeck/net/Endpoint.h
+++ b/packages/net/src/buckthorndeck/net/Endpoint.h
@@ -22,6 +22,10 @@
 std::string toString(const TcpEndpoint &Where);
 std::string toString(const UdpEndpoint &Where);
 
+//! Whether datagrams can be sent to Where: the address of one host, and a port
+//! other than 0.
+bool isUnicast(const UdpEndpoint &Where);
+
 } // namespace buckthorndeck
 
 #endif // BUCKTHORNDECK_NET_ENDPOINT_H
