--- a/packages/forwarding/src/buckthorndeck/forwarding/RelayedChanges.cpp
+++ b/packages/forwarding/src/buckthorndeck/forwarding/RelayedChanges.cpp
@@ -93,14 +93,10 @@
   const Json *Removed = Fields.array("removed", MaxServers);
   if (Fields.failed())
     return Unexpected(Fields.error());
-  auto Failure = decodeElements(
-      *Updated,
-      [&](const Json &Each) { return decodeServer(Each, Step, Source); },
+  decodeServers(*Updated, Step, Source, Result.Changes.Servers);
+  const auto Failure = decodeElements(
+      *Removed, [&](const Json &Each) { return decodeRemoval(Each, Source); },
       Result.Changes.Servers);
-  if (!Failure)
-    Failure = decodeElements(
-        *Removed, [&](const Json &Each) { return decodeRemoval(Each, Source); },
-        Result.Changes.Servers);
   if (Failure)
     return Unexpected(*Failure);
   if (Document->contains("routes")) {
--- a/packages/forwarding/src/buckthorndeck/forwarding/Snapshot.cpp
+++ b/packages/forwarding/src/buckthorndeck/forwarding/Snapshot.cpp
@@ -40,12 +40,7 @@
   const Json *ServerList = Fields.array("servers", MaxServers);
   if (Fields.failed())
     return Unexpected(Fields.error());
-  const auto Failure = decodeElements(
-      *ServerList,
-      [&](const Json &Each) { return decodeServer(Each, Step, Source); },
-      Changes.Servers);
-  if (Failure)
-    return Unexpected(*Failure);
+  decodeServers(*ServerList, Step, Source, Changes.Servers);
   auto Routes = decodeRoutes(*Document, Step, Source);
   if (!Routes)
     return Unexpected(Routes.error());
--- a/packages/forwarding/src/buckthorndeck/forwarding/internal/RegistryFields.cpp
+++ b/packages/forwarding/src/buckthorndeck/forwarding/internal/RegistryFields.cpp
@@ -1,6 +1,7 @@
 #include "buckthorndeck/forwarding/internal/RegistryFields.h"
 
 #include "buckthorndeck/base/FieldReader.h"
+#include "buckthorndeck/base/Log.h"
 #include "buckthorndeck/forwarding/Limits.h"
 
 #include <algorithm>
@@ -58,25 +59,7 @@
   return Result;
 }
 
-} // namespace
-
-Json encodeServer(const Server &Backend, TimePoint Now) {
-  const ServerRecord &Record = Backend.Record;
-  const auto WarmupLeft = std::chrono::duration_cast<Milliseconds>(
-      std::max(Backend.WarmupEndsAt - Now, Clock::duration{0}));
-  return Json{{"name", Record.Name},
-              {"id", Record.Id.value()},
-              {"born", Record.StartTime.value()},
-              {"service", Record.Service.value()},
-              {"address", buckthorndeck::toString(Record.Address)},
-              {"failure_domain", Record.Domain.value()},
-              {"slots", Record.Slots},
-              {"draining", Record.Draining},
-              {"warmup_ms", WarmupLeft.count()},
-              {"revision", Backend.Revision.value()}};
-}
-
-Expected<ServerChange> decodeServer(const Json &Value, const std::string &Step,
+Expected<ServerRecord> decodeRecord(const Json &Value, const std::string &Step,
                                     const std::string &Source) {
   FieldReader Fields(Value, Step, Source);
   ServerRecord Record{
@@ -92,17 +75,52 @@
   if (Value.is_object() && Value.contains("warmup_ms"))
     Record.WarmupLeft =
         Milliseconds(Fields.number("warmup_ms", MaxMilliseconds));
-  const StoreRevision Revision(Fields.number("revision"));
   const auto Address =
       parseUdpEndpoint(Fields.text("address", MaxNameBytes), Step);
+  if (!Address || !isUnicast(*Address))
+    Fields.fail("address", "the IPv4 address and port of a host");
   if (Fields.failed())
     return Unexpected(Fields.error());
-  if (!Address)
-    return Unexpected(Address.error());
   Record.Address = *Address;
-  const std::string Name = Record.Name;
-  return ServerChange{
-      .Name = Name, .Revision = Revision, .Record = std::move(Record)};
+  return Record;
+}
+
+} // namespace
+
+Json encodeServer(const Server &Backend, TimePoint Now) {
+  const ServerRecord &Record = Backend.Record;
+  const auto WarmupLeft = std::chrono::duration_cast<Milliseconds>(
+      std::max(Backend.WarmupEndsAt - Now, Clock::duration{0}));
+  return Json{{"name", Record.Name},
+              {"id", Record.Id.value()},
+              {"born", Record.StartTime.value()},
+              {"service", Record.Service.value()},
+              {"address", buckthorndeck::toString(Record.Address)},
+              {"failure_domain", Record.Domain.value()},
+              {"slots", Record.Slots},
+              {"draining", Record.Draining},
+              {"warmup_ms", WarmupLeft.count()},
+              {"revision", Backend.Revision.value()}};
+}
+
+void decodeServers(const Json &List, const std::string &Step,
+                   const std::string &Source,
+                   std::vector<ServerChange> &Result) {
+  for (const Json &Value : List) {
+    FieldReader Fields(Value, Step, Source);
+    ServerChange Change{.Name = Fields.text("name", MaxNameBytes, 1),
+                        .Revision = StoreRevision(Fields.number("revision"))};
+    auto Record = decodeRecord(Value, Step, Source);
+    if (Record)
+      Change.Record = std::move(*Record);
+    else
+      log(LogLevel::Warn, "registry_entry_unusable",
+          {{"server", Change.Name},
+           {"peer", Source},
+           {"error", Record.error().Message}});
+    if (!Fields.failed())
+      Result.push_back(std::move(Change));
+  }
 }
 
 Json encodeRoutes(const RouteTable &Routes) {
--- a/packages/forwarding/src/buckthorndeck/forwarding/internal/RegistryFields.h
+++ b/packages/forwarding/src/buckthorndeck/forwarding/internal/RegistryFields.h
@@ -29,8 +29,12 @@
 }
 
 Json encodeServer(const Server &Backend, TimePoint Now);
-Expected<ServerChange> decodeServer(const Json &Value, const std::string &Step,
-                                    const std::string &Source);
+//! Decodes a list of servers and adds them to Result. A server that this host
+//! can't use is logged and hides no other: the host that sent it may have other
+//! rules for them.
+void decodeServers(const Json &List, const std::string &Step,
+                   const std::string &Source,
+                   std::vector<ServerChange> &Result);
 
 Json encodeRoutes(const RouteTable &Routes);
 Expected<RouteSet> decodeRoutes(const Json &Value, const std::string &Step,
--- a/packages/forwarding/tests/RelayedChangesTests.cpp
+++ b/packages/forwarding/tests/RelayedChangesTests.cpp
@@ -90,3 +90,20 @@
     decodeChanges(Corrupt, "test");
   }
 }
+
+TEST_CASE("A relayed server that can't be used hides no other",
+          "[relayed_changes]") {
+  // Guards against hosts that stop following their relay because of one entry,
+  // which a relay of another version has accepted.
+  ForwarderFixture Relay;
+  const Json Valid = *decodeCbor(encode(Relay, {}), "test", "test");
+  for (const OddField &Odd : oddServerFields()) {
+    INFO(Odd.Name << " = " << Odd.Value.dump());
+    Json Changes = Valid;
+    Changes["updated"][0][Odd.Name] = Odd.Value;
+    const auto Decoded = decodeChanges(encodeCbor(Changes), "test");
+    REQUIRE(Decoded);
+    CHECK(countUsable(Decoded->Changes) == 2);
+    CHECK(Decoded->Changes.AsOf == StoreRevision(90));
+  }
+}
--- a/packages/forwarding/tests/Samples.h
+++ b/packages/forwarding/tests/Samples.h
@@ -1,8 +1,11 @@
 #ifndef BUCKTHORNDECK_FORWARDING_TESTS_SAMPLES_H
 #define BUCKTHORNDECK_FORWARDING_TESTS_SAMPLES_H
 
+#include "buckthorndeck/base/Json.h"
 #include "buckthorndeck/forwarding/Forwarder.h"
+#include "buckthorndeck/forwarding/Registry.h"
 
+#include <algorithm>
 #include <boost/asio/ip/address_v4.hpp>
 
 namespace buckthorndeck::forwarding {
@@ -88,6 +91,34 @@
   Forwarder Host{{.Domain = FailureDomainName("north"), .DomainCount = 3}};
 };
 
+//! A value that makes the entry of a server unusable in a peer's message.
+struct OddField {
+  const char *Name;
+  Json Value;
+};
+
+inline std::vector<OddField> oddServerFields() {
+  Json Nested = 0;
+  for (int Level = 0; Level < 20; ++Level)
+    Nested = Json::array({std::move(Nested)});
+  return {{"address", "10.1.0.0:65536"},
+          {"address", "10.1.0.0:0"},
+          {"address", "0.0.0.0:8000"},
+          {"slots", 1e300},
+          {"slots", UINT64_MAX},
+          {"warmup_ms", UINT64_MAX},
+          {"id", -1},
+          {"revision", "8"},
+          {"name", ""},
+          {"service", Nested}};
+}
+
+inline std::size_t countUsable(const RegistryChanges &Changes) {
+  return static_cast<std::size_t>(std::count_if(
+      Changes.Servers.begin(), Changes.Servers.end(),
+      [](const ServerChange &Change) { return Change.Record.has_value(); }));
+}
+
 } // namespace buckthorndeck::forwarding
 
 #endif // BUCKTHORNDECK_FORWARDING_TESTS_SAMPLES_H
--- a/packages/forwarding/tests/SnapshotTests.cpp
+++ b/packages/forwarding/tests/SnapshotTests.cpp
@@ -46,3 +46,23 @@
     decodeSnapshot(Corrupt, "test");
   }
 }
+
+TEST_CASE("A server in a snapshot that can't be used hides no other",
+          "[snapshot]") {
+  // Guards against hosts that can't start because of one entry, which a peer of
+  // another version has accepted.
+  ForwarderFixture Site(3);
+  const Json Valid =
+      *decodeCbor(encodeSnapshot(Site.Host.servers(), Site.Host.routes(),
+                                 StoreRevision(21), Start),
+                  "test", "test");
+  for (const OddField &Odd : oddServerFields()) {
+    INFO(Odd.Name << " = " << Odd.Value.dump());
+    Json Snapshot = Valid;
+    Snapshot["servers"][0][Odd.Name] = Odd.Value;
+    const auto Decoded = decodeSnapshot(encodeCbor(Snapshot), "test");
+    REQUIRE(Decoded);
+    CHECK(countUsable(*Decoded) == 2);
+    CHECK(Decoded->Routes->Version == ConfigVersion(1));
+  }
+}
