Soak: series, signals, servers that start again, callers that keep a host

New: server_started_again (a crash and a start under the same id), settings_reloaded (one to three SIGHUPs with good and bad settings, to hosts that have accepted a connection since their start), series of the same kind in short succession that overlap, and callers that send to one host until its process is gone.

The description of store_timeout_ms says what it limits now.

--- a/packages/entryhost/src/buckthorndeck/entryhost/PacketSettings.cpp
+++ b/packages/entryhost/src/buckthorndeck/entryhost/PacketSettings.cpp
@@ -62,7 +62,7 @@
       "description": "s for which the servers of open flows are kept after they left the registry"},
     "store_timeout_ms": {"type": "integer", "minimum": 10, "maximum": 60000,
       "default": 800,
-      "description": "timeout of a call to the store in ms; for a watch the time that it waits is added"},
+      "description": "ms until the store begins to answer a call, and longest pause in the answer; for a watch the time that it waits is added to the former"},
     "detect_within_ms": {"type": "integer", "minimum": 500, "maximum": 60000,
       "default": 4000,
       "description": "ms within which a watch that the store no longer serves must be detected; limits how long a watch waits"},
--- a/packages/faults/src/buckthorndeck/faults/PacketFaults.cpp
+++ b/packages/faults/src/buckthorndeck/faults/PacketFaults.cpp
@@ -1,5 +1,7 @@
 #include "buckthorndeck/faults/PacketFaults.h"
 
+#include "buckthorndeck/net/HttpClient.h"
+
 #include <algorithm>
 #include <stdexcept>
 
@@ -18,6 +20,11 @@
 constexpr Milliseconds PollInterval{20};
 //! All hosts restarted in turn take up to 6 s each.
 constexpr Milliseconds EndLimit{60'000};
+//! Of draws that begin a series, and of the kinds in it.
+constexpr std::uint64_t SeriesInterval = 4;
+constexpr std::uint64_t MaxSeriesLength = 4;
+//! Signals to one host in a row.
+constexpr std::uint64_t MaxSignals = 3;
 //! Servers of one service that must stay for others to be taken away.
 constexpr std::size_t MinServers = 2;
 
@@ -88,6 +95,8 @@
       {"connections_silent", &Self::silenceStoreConnections, StoreFault},
       {"entry_lost", &Self::loseEntry, Other},
       {"server_crash", &Self::crashServer, Other},
+      {"server_started_again", &Self::startServerAgain, Other},
+      {"settings_reloaded", &Self::reloadSettings, Planned},
       {"address_reused", &Self::reuseAddress, Other},
       {"server_freeze", &Self::freezeServer, Other},
       {"server_cut_from_host", &Self::cutServerFromHost, Other},
@@ -299,6 +308,46 @@
   Site.addServer(Service);
 }
 
+//! A server crashes and starts again under its id, often before the store has
+//! noticed.
+Task<> PacketFaults::startServerAgain() {
+  PacketSiteServer *Server = chooseServer();
+  if (!Server)
+    co_return;
+  const Choice Chosen(Server->Busy);
+  Server->Process->crash();
+  co_await sleepFor(between(Short / 3, Short * 3));
+  Site.startAgain(*Server);
+}
+
+//! Planned work: a host is told several times to read its settings again, good
+//! or bad ones.
+Task<> PacketFaults::reloadSettings() {
+  PacketSiteHost *Host = chooseHost();
+  if (!Host)
+    co_return;
+  const Choice Chosen(Host->Busy);
+  // Before its first line a program can't handle a signal; a process that
+  // accepts connections is past that.
+  HttpRequest Probe;
+  const TcpEndpoint Ready(Host->Packets.address(), Host->Packets.port());
+  const auto Answer = co_await callHttp(Ready, std::move(Probe), Short);
+  if (!Answer)
+    co_return;
+  Json Changed = Host->Settings;
+  Changed["log_level"] = "debug";
+  const std::string Texts[] = {Host->Settings.dump(), Changed.dump(),
+                               Changed.dump().substr(0, 40)};
+  const std::uint64_t Count = 1 + randomBelow(Site.random(), MaxSignals);
+  for (std::uint64_t Sent = 0; Sent < Count; ++Sent) {
+    Site.writeSettings(*Host,
+                       Texts[randomBelow(Site.random(), std::size(Texts))]);
+    Host->Process->reload();
+    co_await sleepFor(between(Milliseconds(0), PollInterval));
+  }
+  Site.writeSettings(*Host, Host->Settings.dump(2));
+}
+
 //! A server ends; its address goes to one of the other service, at times while
 //! a host still believes in the old entry.
 Task<> PacketFaults::reuseAddress() {
@@ -402,10 +451,22 @@
                                : track(What.Name, std::move(Work)));
 }
 
+Task<> PacketFaults::beginSeries() {
+  const Kind &What = draw();
+  const bool Single = randomBelow(Site.random(), SeriesInterval) != 0;
+  const std::uint64_t Length =
+      Single ? 1 : 2 + randomBelow(Site.random(), MaxSeriesLength - 1);
+  for (std::uint64_t Begun = 0; Begun < Length; ++Begun) {
+    if (Begun > 0)
+      co_await sleepFor(between(Milliseconds(0), Short));
+    begin(What);
+  }
+}
+
 Task<> PacketFaults::run(Milliseconds Length, Milliseconds MaxPause) {
   const TimePoint End = Clock::now() + Length;
   while (Clock::now() < End) {
-    begin(draw());
+    co_await beginSeries();
     co_await sleepFor(between(Milliseconds(0), MaxPause));
   }
   const TimePoint Due = Clock::now() + EndLimit;
--- a/packages/faults/src/buckthorndeck/faults/PacketFaults.h
+++ b/packages/faults/src/buckthorndeck/faults/PacketFaults.h
@@ -31,6 +31,8 @@
   static const std::vector<Kind> &kinds();
 
   const Kind &draw();
+  //! Begins a drawn kind, at times several times in short succession.
+  Task<> beginSeries();
   void begin(const Kind &What);
   //! Runs Work as a fault of the site; run() waits for it.
   Task<> track(std::string Name, Task<> Work);
@@ -61,6 +63,8 @@
   Task<> loseEntry();
   Task<> writeForeignEntries();
   Task<> crashServer();
+  Task<> startServerAgain();
+  Task<> reloadSettings();
   Task<> reuseAddress();
   Task<> freezeServer();
   Task<> replaceServer();
--- a/packages/faults/src/buckthorndeck/faults/PacketSite.cpp
+++ b/packages/faults/src/buckthorndeck/faults/PacketSite.cpp
@@ -25,6 +25,8 @@
 constexpr Milliseconds StartLimit{10'000};
 constexpr Milliseconds PollInterval{20};
 constexpr std::uint32_t SlotsPerServer = 4;
+//! Start times of servers, in ms since the Unix epoch, rise from here.
+constexpr std::uint64_t FirstStartTime = 1'700'000'000'000;
 constexpr Milliseconds HostStopGrace{3000};
 //! Bounds of the users' deployments.
 constexpr Milliseconds DetectWithin{4000};
@@ -200,14 +202,23 @@
                                         std::optional<UdpEndpoint> Address) {
   const std::uint64_t Id = Random() >> 1U;
   const auto Domains = domains();
-  ServerRecord Record{
-      .Name = "i-" + toHex(Id),
-      .Id = ServerId(Id),
-      .StartTime = Incarnation(1'700'000'000'000 + NextServer),
-      .Service = ServiceName(Service),
-      .Address = Address.value_or(UdpEndpoint(serverIp(NextServer), 0)),
-      .Domain = Domains[NextServer / 2 % Domains.size()],
-      .Slots = SlotsPerServer};
+  return startServer(
+      {.Name = "i-" + toHex(Id),
+       .Id = ServerId(Id),
+       .Service = ServiceName(Service),
+       .Address = Address.value_or(UdpEndpoint(serverIp(NextServer), 0)),
+       .Domain = Domains[NextServer / 2 % Domains.size()],
+       .Slots = SlotsPerServer});
+}
+
+PacketSiteServer &PacketSite::startAgain(const PacketSiteServer &Crashed) {
+  PacketSiteServer &Server = startServer(Crashed.Process->record());
+  const Disturbance Started(Server.State);
+  return Server;
+}
+
+PacketSiteServer &PacketSite::startServer(ServerRecord Record) {
+  Record.StartTime = Incarnation(FirstStartTime + NextServer);
   standins::FlowServerOptions Wanted{
       .Record = std::move(Record),
       .Format = platform::endPacketFormat(),
@@ -250,4 +261,9 @@
   return nullptr;
 }
 
+bool PacketSite::runs(const UdpEndpoint &Packets) {
+  const PacketSiteHost *Host = hostAt(Packets);
+  return Host && Host->Process && Host->Process->running();
+}
+
 } // namespace buckthorndeck::faults
--- a/packages/faults/src/buckthorndeck/faults/PacketSite.h
+++ b/packages/faults/src/buckthorndeck/faults/PacketSite.h
@@ -119,6 +119,9 @@
   //! Starts and registers a server, at Address if there is one.
   PacketSiteServer &addServer(const std::string &Service,
                               std::optional<UdpEndpoint> Address = {});
+  //! Starts the process of a server that has crashed again, under its name and
+  //! at its address.
+  PacketSiteServer &startAgain(const PacketSiteServer &Crashed);
   //! Takes a server's entry out of the store.
   void unregister(PacketSiteServer &Server);
   //! Publishes the next version.
@@ -139,8 +142,11 @@
   std::vector<FailureDomainName> domains() const;
   //! The host with this packet address; null if there is none.
   PacketSiteHost *hostAt(const UdpEndpoint &Packets);
+  //! Whether the process of the host with this packet address runs.
+  bool runs(const UdpEndpoint &Packets);
 
 private:
+  PacketSiteServer &startServer(forwarding::ServerRecord Record);
   std::string settingsFile(const PacketSiteHost &Host) const;
   Json hostSettings(const PacketSiteHost &Host, unsigned Number) const;
 
--- a/packages/faults/src/buckthorndeck/faults/PacketTraffic.cpp
+++ b/packages/faults/src/buckthorndeck/faults/PacketTraffic.cpp
@@ -21,6 +21,9 @@
 //! Requests on a long flow before it is replaced.
 constexpr unsigned RequestsPerFlow = 40;
 constexpr Milliseconds StopPollInterval{10};
+//! One of this many callers with long flows sends to the same host until its
+//! process is gone, as connections do that a router keeps.
+constexpr unsigned HostKeeperInterval = 4;
 
 } // namespace
 
@@ -29,6 +32,7 @@
 
   RandomEngine Random;
   bool KeepsFlow = false;
+  standins::FlowPath Path = standins::FlowPath::Routed;
   bool Repeatable = true;
   std::shared_ptr<CallerFlow> Flow;
   unsigned Used = 0; //!< Requests on the flow.
@@ -36,12 +40,15 @@
 
 PacketTraffic::PacketTraffic(PacketSite &Target, PacketTrafficOptions Wanted)
     : Target(Target), Options(Wanted) {
-  auto Started = FlowCaller::start(Target.executor(),
-                                   {.Address = Target.callerAddress(),
-                                    .Domain = Target.domains().front(),
-                                    .Format = platform::endPacketFormat(),
-                                    .Router = &Target.router(),
-                                    .RandomSeed = Options.Seed});
+  auto Started = FlowCaller::start(
+      Target.executor(),
+      {.Address = Target.callerAddress(),
+       .Domain = Target.domains().front(),
+       .Format = platform::endPacketFormat(),
+       .Router = &Target.router(),
+       .HostRuns =
+           [&Target](const UdpEndpoint &Host) { return Target.runs(Host); },
+       .RandomSeed = Options.Seed});
   if (!Started)
     throw std::runtime_error(describe(Started.error()));
   Caller = std::move(*Started);
@@ -50,6 +57,8 @@
     User &Who = Users.emplace_back(Options.Seed * 1000 + Number);
     Who.KeepsFlow = Number < Options.LongFlows;
     Who.Repeatable = Number % 3 != 0;
+    if (Who.KeepsFlow && Number % HostKeeperInterval == 0)
+      Who.Path = standins::FlowPath::KeepsHost;
   }
 }
 
@@ -71,7 +80,7 @@
 Task<FlowOutcome> PacketTraffic::callOnce(User &Who, FlowRequest Request,
                                           PacketCall Record) {
   if (!Who.Flow) {
-    const auto Opened = co_await Caller->open(Record.Service);
+    const auto Opened = co_await Caller->open(Record.Service, Who.Path);
     Who.Flow = Opened;
     Who.Used = 0;
   }
--- a/packages/standins/src/buckthorndeck/standins/FlowCaller.cpp
+++ b/packages/standins/src/buckthorndeck/standins/FlowCaller.cpp
@@ -34,6 +34,8 @@
   std::unique_ptr<FlowStream> Stream; //!< Once a server has answered.
   bool Reset = false;
   bool Closing = false; //!< Nothing more is wanted of it.
+  FlowPath Path = FlowPath::Routed;
+  std::optional<UdpEndpoint> Host; //!< If it keeps its host.
 
   bool over() const { return Reset || Stream->closed() || Stream->gaveUp(); }
 };
@@ -43,6 +45,7 @@
       : Where(Where), Options(std::move(Given)), Socket(std::move(Socket)),
         Random(Options.RandomSeed) {}
 
+  std::optional<UdpEndpoint> hostFor(const FlowKey &Key);
   void send(const FlowPacket &Packet);
   void handle(const ReceivedDatagram &Datagram);
   void handleOpened(CallerFlow &Flow, const FlowPacket &Packet);
@@ -79,9 +82,19 @@
   return "unknown";
 }
 
+std::optional<UdpEndpoint> FlowCaller::State::hostFor(const FlowKey &Key) {
+  const auto Found = Flows.find(Key.Caller.Port);
+  if (Found == Flows.end() || Found->second->Path == FlowPath::Routed)
+    return Options.Router->route(Key, Options.Domain);
+  std::optional<UdpEndpoint> &Host = Found->second->Host;
+  if (!Host || !Options.HostRuns(*Host))
+    Host = Options.Router->route(Key, Options.Domain);
+  return Host;
+}
+
 void FlowCaller::State::send(const FlowPacket &Packet) {
   const FlowKey Key{.Caller = Packet.Source, .Service = Packet.Destination};
-  const auto Host = Options.Router->route(Key, Options.Domain);
+  const auto Host = hostFor(Key);
   if (!Host || randomUnit(Random) < Faults.Drop)
     return;
   const Bytes Datagram = Options.Format.Encode(Packet);
@@ -190,9 +203,11 @@
   Shared->Faults = Faults;
 }
 
-Task<std::shared_ptr<CallerFlow>> FlowCaller::open(SocketAddress Service) {
+Task<std::shared_ptr<CallerFlow>> FlowCaller::open(SocketAddress Service,
+                                                   FlowPath Path) {
   const std::shared_ptr<State> Self = Shared;
   const std::shared_ptr<CallerFlow> Flow = Self->addFlow(Service);
+  Flow->Path = Path;
   FlowPacket First{.Source = Flow->Key.Caller,
                    .Destination = Service,
                    .Sequence = Flow->FirstSequence,
--- a/packages/standins/src/buckthorndeck/standins/FlowCaller.h
+++ b/packages/standins/src/buckthorndeck/standins/FlowCaller.h
@@ -23,9 +23,17 @@
   FailureDomainName Domain;
   FlowPacketFormat Format;
   const PacketRouter *Router = nullptr;
+  //! Whether the process of a host runs; for flows that keep their host.
+  std::function<bool(const UdpEndpoint &Host)> HostRuns;
   std::uint64_t RandomSeed = 1;
 };
 
+//! Which hosts the packets of a flow go to.
+enum class FlowPath : std::uint8_t {
+  Routed,    //!< Those that the routers choose.
+  KeepsHost, //!< The first one until its process is gone, in rotation or not.
+};
+
 enum class FlowOutcome : std::uint8_t {
   Answered,
   NotOpened, //!< No server took the flow, so that nothing ran.
@@ -66,7 +74,8 @@
 
   //! Sends the first packet and its copies until a server answers; null if
   //! none does.
-  Task<std::shared_ptr<CallerFlow>> open(forwarding::SocketAddress Service);
+  Task<std::shared_ptr<CallerFlow>> open(forwarding::SocketAddress Service,
+                                         FlowPath Path = FlowPath::Routed);
   Task<FlowResult> call(std::shared_ptr<CallerFlow> Flow, FlowRequest Request,
                         Milliseconds Budget);
   //! Whether a further request may be sent.
