Forwarder: a timed-out health check counts only if the own link is not slow

Cause: a transfer fills the link of 10 Mbit/s.

Change: for 500 ms after an inconclusive check, a timeout is inconclusive too. A server that is silent while others answer is found as before.

The new test of ForwarderTests failed before (the flow was reset).

--- a/packages/forwarding/src/buckthorndeck/forwarding/Forwarder.cpp
+++ b/packages/forwarding/src/buckthorndeck/forwarding/Forwarder.cpp
@@ -24,6 +24,9 @@
 constexpr Milliseconds HealthCheckInterval{500};
 //! Least time from an inconclusive health check to the next one.
 constexpr Milliseconds InconclusiveCheckInterval{200};
+//! After an inconclusive health check, this host's own link counts as slow for
+//! this time.
+constexpr Milliseconds SlowLinkTime{500};
 //! Least time from a failed health check to the next one.
 constexpr Milliseconds FailedCheckInterval{1000};
 //! If no server at all has answered for this time, this host is isolated.
@@ -379,6 +382,10 @@
     LastInconclusiveAt = Now;
   else
     LastAnswerAt = Now;
+  // On a slow link the reference server may answer in time by chance.
+  if (Outcome == HealthCheckOutcome::TimedOut &&
+      Now - LastInconclusiveAt < SlowLinkTime)
+    Outcome = HealthCheckOutcome::Inconclusive;
   Server *Target = Servers.find(Token);
   if (!Target)
     return;
--- a/packages/forwarding/tests/ForwarderTests.cpp
+++ b/packages/forwarding/tests/ForwarderTests.cpp
@@ -461,3 +461,40 @@
   CHECK(Site.advance(Milliseconds(1)).Resets.empty());
   CHECK(Site.handle(Request).Action == PacketAction::Forward);
 }
+
+TEST_CASE("A health check that times out while this host's link is slow resets "
+          "no flow",
+          "[forwarder]") {
+  // Guards against resets of all flows of a living server: a transfer filled a
+  // link of 10 Mbit/s, checks of all servers timed out, and for one of them the
+  // reference server answered.
+  ForwarderFixture Site;
+  Server &Target = Site.establishFlow(makeFlow(1));
+  const PacketHeader Request = makeData(makeFlow(1), Target.Token, 1001, 5000);
+  Site.handle(Request);
+  Site.Now += Milliseconds(200);
+  Site.handle(Request);
+  REQUIRE(Target.HealthCheckRunning);
+  const auto CheckOther = [&] {
+    for (unsigned Number = 0; Number < 3; ++Number) {
+      const ServerToken Other = tokenOf(makeServer(Number));
+      if (Other != Target.Token)
+        Site.Host.recordHealthCheck(Other, HealthCheckOutcome::Inconclusive,
+                                    Site.Now, Site.Now);
+    }
+  };
+  SECTION("A check just before it was inconclusive") {
+    CheckOther();
+    Site.Now += Milliseconds(400);
+    finishHealthCheck(Site, Target, HealthCheckOutcome::TimedOut);
+    CHECK(Target.State == Reachability::Reachable);
+    CHECK(Site.advance(Milliseconds(1)).Resets.empty());
+  }
+  SECTION("The link was slow some time ago") {
+    CheckOther();
+    Site.Now += Milliseconds(600);
+    finishHealthCheck(Site, Target, HealthCheckOutcome::TimedOut);
+    CHECK(Target.State == Reachability::Unresponsive);
+    CHECK(Site.advance(Milliseconds(1)).Resets.size() == 1);
+  }
+}
