Soak: flows that are idle for seconds, and a choice of kinds

An idle flow whose server has drained and ended may fail: server_replaced ends servers after 3 s to 6 s, and the platform's pages allow just that.

--- a/packages/faults/programs/soak.cpp
+++ b/packages/faults/programs/soak.cpp
@@ -5,6 +5,7 @@
 #include <filesystem>
 #include <iostream>
 #include <map>
+#include <sstream>
 
 using namespace buckthorndeck;
 using namespace buckthorndeck::faults;
@@ -17,7 +18,7 @@
 Usage:
   soak --program=FILE [--seeds=FIRST-LAST] [--seconds=N] [--hosts=N]
        [--domains=N] [--servers=N] [--long-flows=N] [--short-flows=N]
-       [--pause-ms=N] [--logs=DIRECTORY]
+       [--pause-ms=N] [--kinds=NAMES] [--logs=DIRECTORY]
   soak (-h | --help)
 
 Options:
@@ -31,6 +32,8 @@
   --short-flows=N      Callers that open a flow each time [default: 6].
   --pause-ms=N         Longest pause between two faults; 0 lets the seed draw
                        it [default: 0].
+  --kinds=NAMES        Kinds of faults, separated by commas; all if empty
+                       [default: ].
   --logs=DIRECTORY     Settings and logs of hosts, by seed [default: out/soak].
   -h --help            Show this text.
 
@@ -58,6 +61,9 @@
   Options.Traffic.ShortFlows = numberOf(Given, "--short-flows");
   Options.Length = std::chrono::seconds(numberOf(Given, "--seconds"));
   Options.MaxPause = Milliseconds(numberOf(Given, "--pause-ms"));
+  std::istringstream Kinds(Given.at("--kinds").asString());
+  for (std::string Name; std::getline(Kinds, Name, ',');)
+    Options.Kinds.push_back(Name);
   return Options;
 }
 
--- a/packages/faults/src/buckthorndeck/faults/PacketFaults.cpp
+++ b/packages/faults/src/buckthorndeck/faults/PacketFaults.cpp
@@ -107,19 +107,29 @@
 
 const PacketFaults::Kind &PacketFaults::draw() {
   unsigned Sum = 0;
-  for (const Kind &Each : kinds())
+  for (const Kind &Each : Drawn)
     Sum += Each.Weight;
   std::uint64_t Point = randomBelow(Site.random(), Sum);
-  for (const Kind &Each : kinds()) {
+  for (const Kind &Each : Drawn) {
     if (Point < Each.Weight)
       return Each;
     Point -= Each.Weight;
   }
-  return kinds().back();
+  return Drawn.back();
+}
+
+PacketFaults::PacketFaults(PacketSite &Site, PacketTraffic &Traffic,
+                           const std::vector<std::string> &Names)
+    : Site(Site), Traffic(Traffic) {
+  for (const Kind &Each : kinds())
+    if (Names.empty() ||
+        std::ranges::find(Names, std::string(Each.Name)) != Names.end())
+      Drawn.push_back(Each);
+  if (Drawn.empty())
+    throw std::invalid_argument("no kind of fault has any of the names");
 }
 
-PacketFaults::PacketFaults(PacketSite &Site, PacketTraffic &Traffic)
-    : Site(Site), Traffic(Traffic) {}
+PacketFaults::~PacketFaults() = default;
 
 Milliseconds PacketFaults::between(Milliseconds Least, Milliseconds Most) {
   const auto Span = static_cast<std::uint64_t>((Most - Least).count()) + 1;
--- a/packages/faults/src/buckthorndeck/faults/PacketFaults.h
+++ b/packages/faults/src/buckthorndeck/faults/PacketFaults.h
@@ -16,7 +16,10 @@
  */
 class PacketFaults {
 public:
-  PacketFaults(PacketSite &Site, PacketTraffic &Traffic);
+  //! Draws from the kinds with these names only, unless there are none.
+  PacketFaults(PacketSite &Site, PacketTraffic &Traffic,
+               const std::vector<std::string> &Names);
+  ~PacketFaults();
 
   //! Begins faults for Length, and returns once all have ended.
   Task<> run(Milliseconds Length, Milliseconds MaxPause);
@@ -74,6 +77,7 @@
 
   PacketSite &Site;
   PacketTraffic &Traffic;
+  std::vector<Kind> Drawn; //!< Kinds to draw from.
   std::map<std::string, std::size_t> Counts;
   unsigned Active = 0; //!< Running now.
   //! Begun and not completed: running, or ended by an exception.
--- a/packages/faults/src/buckthorndeck/faults/PacketPromises.cpp
+++ b/packages/faults/src/buckthorndeck/faults/PacketPromises.cpp
@@ -139,6 +139,17 @@
   }
 }
 
+bool PacketPromises::hasEndedServer(const FlowKey &Flow) const {
+  return std::ranges::any_of(
+      Site.servers(), [&](const PacketSiteServer &Server) {
+        const auto &Openings = Server.Process->openings();
+        return !Server.Process->alive() &&
+               std::ranges::any_of(Openings, [&](const FlowOpening &Opening) {
+                 return Opening.Flow == Flow;
+               });
+      });
+}
+
 //! Planned work alone makes no call fail.
 void PacketPromises::checkCalm(const PacketCall &Call) {
   if (Call.Result.Outcome == FlowOutcome::Answered ||
@@ -147,9 +158,11 @@
   // A flow whose server drains, or whose route is gone, may end.
   const bool Planned = Call.Result.Outcome == FlowOutcome::Closed ||
                        servicesOf(Site.versions().back(), Call.Service).empty();
+  // A server that drains may end while a flow is idle.
+  const bool ServerEnded = Call.IdleFlow && hasEndedServer(Call.Flow);
   // Hosts learn of a route some time after its version.
   const bool NewRoute = Call.Service.Port >= FirstVersionPort;
-  if (!Planned && !NewRoute)
+  if (!Planned && !ServerEnded && !NewRoute)
     report("undisturbed call", "request " + std::to_string(Call.Request) +
                                    " to " + toString(Call.Service) + ": " +
                                    standins::toString(Call.Result.Outcome));
--- a/packages/faults/src/buckthorndeck/faults/PacketPromises.h
+++ b/packages/faults/src/buckthorndeck/faults/PacketPromises.h
@@ -39,6 +39,8 @@
                     const PacketSiteHost &Host);
   void checkReset(const standins::FlowReset &Reset);
   void checkCalm(const PacketCall &Call);
+  //! Whether the server that took Flow has ended since.
+  bool hasEndedServer(const forwarding::FlowKey &Flow) const;
   void checkDamage();
   bool allHostsCalm() const;
 
--- a/packages/faults/src/buckthorndeck/faults/PacketTraffic.cpp
+++ b/packages/faults/src/buckthorndeck/faults/PacketTraffic.cpp
@@ -2,6 +2,7 @@
 
 #include "buckthorndeck/platform/EndPacketCodec.h"
 
+#include <algorithm>
 #include <stdexcept>
 
 namespace buckthorndeck::faults {
@@ -20,7 +21,16 @@
 constexpr std::uint32_t MaxAnswerBytes = 30'000;
 //! Requests on a long flow before it is replaced.
 constexpr unsigned RequestsPerFlow = 40;
+//! The same for a flow that is idle between them. Few, so that there are always
+//! new ones: a server that has started again may get one at any time.
+constexpr unsigned RequestsPerIdleFlow = 2;
+//! Longer than the time for which a reset after a fault is allowed, and shorter
+//! than that after which hosts forget a flow.
+constexpr Milliseconds MinIdleTime{4500};
+constexpr std::uint64_t MaxMoreIdleMs = 4000;
 constexpr Milliseconds StopPollInterval{10};
+//! After at most this time a pausing caller notices that it shall end.
+constexpr Milliseconds MaxPauseStep{100};
 //! One of this many callers with long flows sends to the same host until its
 //! process is gone, as connections do that a router keeps.
 constexpr unsigned HostKeeperInterval = 4;
@@ -32,6 +42,7 @@
 
   RandomEngine Random;
   bool KeepsFlow = false;
+  bool Idles = false;
   standins::FlowPath Path = standins::FlowPath::Routed;
   bool Repeatable = true;
   std::shared_ptr<CallerFlow> Flow;
@@ -52,10 +63,11 @@
   if (!Started)
     throw std::runtime_error(describe(Started.error()));
   Caller = std::move(*Started);
-  for (unsigned Number = 0; Number < Options.LongFlows + Options.ShortFlows;
-       ++Number) {
+  const unsigned FirstIdle = Options.LongFlows + Options.ShortFlows;
+  for (unsigned Number = 0; Number < FirstIdle + Options.IdleFlows; ++Number) {
     User &Who = Users.emplace_back(Options.Seed * 1000 + Number);
-    Who.KeepsFlow = Number < Options.LongFlows;
+    Who.Idles = Number >= FirstIdle;
+    Who.KeepsFlow = Number < Options.LongFlows || Who.Idles;
     Who.Repeatable = Number % 3 != 0;
     if (Who.KeepsFlow && Number % HostKeeperInterval == 0)
       Who.Path = standins::FlowPath::KeepsHost;
@@ -84,15 +96,19 @@
     Who.Flow = Opened;
     Who.Used = 0;
   }
-  if (Who.Flow)
+  if (Who.Flow) {
+    Record.IdleFlow = Who.Idles && Who.Used > 0;
+    Record.Flow = FlowCaller::keyOf(*Who.Flow);
     Record.Result = co_await Caller->call(Who.Flow, Request, Options.Budget);
+  }
   const FlowOutcome Outcome = Record.Result.Outcome;
   Calls.push_back(Record);
   if (Outcome == FlowOutcome::NotOpened)
     co_return Outcome;
   ++Who.Used;
+  const unsigned Most = Who.Idles ? RequestsPerIdleFlow : RequestsPerFlow;
   const bool Keep = Who.KeepsFlow && Outcome == FlowOutcome::Answered &&
-                    Who.Used < RequestsPerFlow && FlowCaller::usable(*Who.Flow);
+                    Who.Used < Most && FlowCaller::usable(*Who.Flow);
   if (!Keep) {
     Caller->close(Who.Flow);
     Who.Flow = nullptr;
@@ -118,6 +134,20 @@
   }
 }
 
+Task<> PacketTraffic::pauseAfter(User &Who) {
+  const auto Draw = [&](std::uint64_t Limit) {
+    return Milliseconds(
+        static_cast<Milliseconds::rep>(randomBelow(Who.Random, Limit) + 1));
+  };
+  TimePoint Due = Clock::now() + Draw(MaxPauseMs);
+  if (Who.Idles && Who.Flow)
+    Due += MinIdleTime + Draw(MaxMoreIdleMs);
+  while (!Stopping && Clock::now() < Due) {
+    const auto Left = std::chrono::ceil<Milliseconds>(Due - Clock::now());
+    co_await sleepFor(std::min(Left, MaxPauseStep));
+  }
+}
+
 Task<> PacketTraffic::run(User &Who) {
   while (!Stopping) {
     // Short flows also show which configuration a host has in force.
@@ -132,9 +162,7 @@
     if (Who.Flow)
       Service = FlowCaller::keyOf(*Who.Flow).Service;
     co_await callUntilDone(Who, Service);
-    const auto Pause =
-        static_cast<Milliseconds::rep>(randomBelow(Who.Random, MaxPauseMs) + 1);
-    co_await sleepFor(Milliseconds(Pause));
+    co_await pauseAfter(Who);
   }
   if (Who.Flow)
     Caller->close(Who.Flow);
--- a/packages/faults/src/buckthorndeck/faults/PacketTraffic.h
+++ b/packages/faults/src/buckthorndeck/faults/PacketTraffic.h
@@ -12,6 +12,8 @@
 struct PacketCall {
   std::uint64_t Request = 0; //!< The same for each attempt.
   forwarding::SocketAddress Service;
+  forwarding::FlowKey Flow; //!< Unless it was not opened.
+  bool IdleFlow = false;    //!< The flow was idle for seconds before it.
   standins::FlowResult Result;
 };
 
@@ -19,6 +21,7 @@
   std::uint64_t Seed = 1;
   unsigned LongFlows = 12;   //!< Callers that keep a flow for many requests.
   unsigned ShortFlows = 6;   //!< Callers that open a flow for each request.
+  unsigned IdleFlows = 60;   //!< Callers whose flows are idle for seconds.
   Milliseconds Budget{2000}; //!< Of one attempt, after its flow has opened.
 };
 
@@ -42,6 +45,7 @@
   struct User;
 
   Task<> run(User &Who);
+  Task<> pauseAfter(User &Who);
   Task<> callUntilDone(User &Who, forwarding::SocketAddress Service);
   Task<standins::FlowOutcome> callOnce(User &Who, standins::FlowRequest Request,
                                        PacketCall Record);
--- a/packages/faults/src/buckthorndeck/faults/Soak.cpp
+++ b/packages/faults/src/buckthorndeck/faults/Soak.cpp
@@ -15,8 +15,10 @@
 constexpr Milliseconds CheckInterval{5};
 //! Within it all must be served again after the last fault.
 constexpr Milliseconds RecoveryTime{12'000};
-//! Traffic before the first fault and after the recovery.
+//! Traffic before the first fault.
 constexpr Milliseconds QuietTime{1000};
+//! Traffic after the recovery, until each idle flow has been used again.
+constexpr Milliseconds IdleCheckTime{9000};
 constexpr Milliseconds DensePause{400};
 constexpr Milliseconds SparsePause{3000};
 //! Answers in a row that show that all is served again.
@@ -26,7 +28,7 @@
 public:
   Soak(const Executor &Where, const SoakOptions &Options)
       : Options(Options), Where(Where), Site(Where, Options.Site),
-        Traffic(Site, Options.Traffic), Faults(Site, Traffic),
+        Traffic(Site, Options.Traffic), Faults(Site, Traffic, Options.Kinds),
         Promises(Site, Traffic) {}
 
   Task<> run() {
@@ -93,7 +95,7 @@
       co_await sleepFor(CheckInterval);
     if (!served(Since))
       Promises.report("recovery", "not all calls are answered after 12 s");
-    co_await sleepFor(QuietTime);
+    co_await sleepFor(IdleCheckTime);
   }
 
   SoakOptions Options;
--- a/packages/faults/src/buckthorndeck/faults/Soak.h
+++ b/packages/faults/src/buckthorndeck/faults/Soak.h
@@ -16,6 +16,8 @@
   //! Longest pause between the beginnings of two faults; 0 lets the seed draw
   //! it: dense faults overlap, sparse ones leave more to check.
   Milliseconds MaxPause{0};
+  //! Names of the kinds of faults to draw from; empty for all.
+  std::vector<std::string> Kinds;
 };
 
 struct SoakReport {
--- a/packages/faults/tests/SoakTests.cpp
+++ b/packages/faults/tests/SoakTests.cpp
@@ -51,3 +51,17 @@
   CHECK(Report.Outcomes.at("answered") > 100);
   CHECK(Report.Faults.size() > 5);
 }
+
+TEST_CASE("Flows that were opened at a server just after it had started again "
+          "are not reset by hosts") {
+  // Hosts place flows at the new process before they have read its entry. With
+  // the token of the former one, each was reset at its next request, seconds
+  // later.
+  const std::uint64_t Seed = GENERATE(2, 3);
+  const SoakReport Report = runSeed({.Length = Milliseconds(4000),
+                                     .MaxPause = Milliseconds(1500),
+                                     .Kinds = {"server_started_again"}},
+                                    Seed);
+  CHECK(Report.Outcomes.at("answered") > 100);
+  CHECK(Report.Faults.at("server_started_again") > 2);
+}
