Registry reader: logs name the era of the store

The logs gave revisions without the history that they belong to, and said nothing of an entry or a removal that the directory ignored.

--- a/packages/forwarding/src/buckthorndeck/forwarding/Forwarder.cpp
+++ b/packages/forwarding/src/buckthorndeck/forwarding/Forwarder.cpp
@@ -650,9 +650,13 @@
 void Forwarder::updateServer(ServerRecord Record, StoreRevision Revision,
                              TimePoint Now, LogLevel Level) {
   const ServerToken Token = tokenOf(Record);
+  const std::string Name = Record.Name;
   const auto Change = Servers.update(std::move(Record), Revision, Now);
-  if (Change == ServerDirectory::Change::None)
+  if (Change == ServerDirectory::Change::None) {
+    log(LogLevel::Debug, "server_update_ignored",
+        {{"server", Name}, {"server_revision", Revision.value()}});
     return;
+  }
   Server &Target = *Servers.find(Token);
   log(Level, "server_updated",
       {{"server", Target.Record.Name},
@@ -676,6 +680,9 @@
                              TimePoint Now) {
   if (Server *Target = Servers.remove(Name, Revision, Now))
     recordRemoval(*Target, "removed_from_registry", Now);
+  else
+    log(LogLevel::Info, "server_removal_ignored",
+        {{"server", Name}, {"server_revision", Revision.value()}});
 }
 
 void Forwarder::retainServers(std::vector<std::string> Present,
--- a/packages/forwarding/src/buckthorndeck/forwarding/Registry.h
+++ b/packages/forwarding/src/buckthorndeck/forwarding/Registry.h
@@ -26,6 +26,7 @@
   std::optional<RouteSet> Routes;
   //! Revision of the whole store; later changes are missing.
   StoreRevision AsOf;
+  StoreEra Era; //!< History that the revisions belong to.
   //! Includes events that change neither servers nor routes.
   std::size_t Events = 0;
   std::size_t Bytes = 0; //!< Size of the store's answer.
--- a/packages/forwarding/src/buckthorndeck/forwarding/RegistryReader.cpp
+++ b/packages/forwarding/src/buckthorndeck/forwarding/RegistryReader.cpp
@@ -60,7 +60,9 @@
 
 void logWatch(const RegistryChanges &Changes) {
   log(LogLevel::Info, "watch_answered",
-      {{"events", Changes.Events}, {"revision", Changes.AsOf.value()}});
+      {{"events", Changes.Events},
+       {"revision", Changes.AsOf.value()},
+       {"era", Changes.Era.value()}});
 }
 
 //! Whether the answer may lack changes that did not fit.
@@ -69,9 +71,11 @@
          Changes.Bytes >= TruncatedAnswerBytes;
 }
 
-void logStaleRead(StoreRevision Read, StoreRevision Applied) {
+void logStaleRead(const RegistryChanges &Read, StoreRevision Applied) {
   log(LogLevel::Info, "stale_read_ignored",
-      {{"revision", Read.value()}, {"known", Applied.value()}});
+      {{"revision", Read.AsOf.value()},
+       {"era", Read.Era.value()},
+       {"known", Applied.value()}});
 }
 
 void logLoaded(const std::string &From, StoreRevision AsOf, Forwarder &Target) {
@@ -182,6 +186,16 @@
   LastAnswerAt = Clock::now();
 }
 
+void RegistryReader::recordEra(StoreEra Era) {
+  if (Era == LastEra)
+    return;
+  log(LogLevel::Warn, "store_era_changed",
+      {{"era", Era.value()},
+       {"before", LastEra.value()},
+       {"known", View.AsOf.value()}});
+  LastEra = Era;
+}
+
 void RegistryReader::apply(RegistryChanges &Changes) {
   const TimePoint Now = Clock::now();
   if (Changes.Routes)
@@ -208,6 +222,7 @@
     Expected<RegistryPage> Page = co_await Source.ReadPage(From);
     if (Page) {
       recordCallResult(std::nullopt);
+      recordEra(Page->Changes.Era);
       co_return Page;
     }
     recordCallResult(Page.error());
@@ -238,7 +253,7 @@
     if (!FirstRevision)
       FirstRevision = Page->Changes.AsOf;
     if (*FirstRevision < View.AsOf) {
-      logStaleRead(*FirstRevision, View.AsOf);
+      logStaleRead(Page->Changes, View.AsOf);
       co_return false;
     }
     for (const ServerChange &Change : Page->Changes.Servers)
@@ -343,6 +358,7 @@
     co_return Changes.error().Code != ErrorCode::Expired;
   }
   recordCallResult(std::nullopt);
+  recordEra(Changes->Era);
   logWatch(*Changes);
   StoreFailed = false;
   apply(*Changes);
--- a/packages/forwarding/src/buckthorndeck/forwarding/RegistryReader.h
+++ b/packages/forwarding/src/buckthorndeck/forwarding/RegistryReader.h
@@ -101,6 +101,7 @@
   void apply(RegistryChanges &Changes);
   void markLoaded(const std::string &From);
   void recordCallResult(std::optional<Error> Failure);
+  void recordEra(StoreEra Era);
   Task<> pause(Milliseconds Delay);
 
   RegistryReaderOptions Options;
@@ -116,6 +117,7 @@
   RelaySelection Relays;     //!< Those that this host follows.
   std::string FollowedRelay; //!< Name of the last relay that answered.
   TimePoint LastAnswerAt;
+  StoreEra LastEra; //!< Of the store's last answer.
   TimePoint LastRefreshAt;
   RegistryCounters Counters;
   unsigned ConsecutiveFailures = 0; //!< Of calls to the store.
--- a/packages/forwarding/src/buckthorndeck/forwarding/ServerDirectory.h
+++ b/packages/forwarding/src/buckthorndeck/forwarding/ServerDirectory.h
@@ -18,6 +18,10 @@
 //! Revision of one key or of the whole store.
 using StoreRevision = StrongType<struct StoreRevisionTag, std::uint64_t>;
 
+//! Number of the store's history: rises each time the store comes back from a
+//! copy. 0 if the store names none.
+using StoreEra = StrongType<struct StoreEraTag, std::uint64_t>;
+
 //! Registry entry of a backend server process.
 struct ServerRecord {
   std::string Name; //!< Unique; its key in the registry.
