--- /dev/null
+++ b/packages/forwarding/tests/RestorableStore.h
@@ -0,0 +1,158 @@
+#ifndef BUCKTHORNDECK_FORWARDING_TESTS_RESTORABLESTORE_H
+#define BUCKTHORNDECK_FORWARDING_TESTS_RESTORABLESTORE_H
+
+#include "Samples.h"
+#include "buckthorndeck/net/Notifier.h"
+
+#include <deque>
+#include <map>
+
+namespace buckthorndeck::forwarding {
+
+/**
+ * A store of servers and configuration that can come back from a copy of
+ * itself: then its revisions go back and are given out again, and its era
+ * rises by one.
+ */
+class RestorableStore {
+public:
+  explicit RestorableStore(const Executor &Where) : Changed(Where) {}
+
+  //! What a copy holds.
+  struct Content {
+    struct Entry {
+      ServerRecord Record;
+      std::uint64_t Revision = 0;
+    };
+    struct Event {
+      std::uint64_t Revision = 0;
+      std::string Name; //!< Of a server; empty for the configuration.
+      std::optional<ServerRecord> Record;
+      std::optional<RouteSet> Routes;
+    };
+    std::map<std::string, Entry> Entries;
+    std::optional<RouteSet> Routes;
+    std::deque<Event> History;
+    std::uint64_t Revision = 1;
+  };
+
+  //! What one host's calls meet, and their number.
+  struct Link {
+    bool TurnedAway = false;
+    unsigned Reads = 0;
+    unsigned Watches = 0;
+  };
+
+  RegistrySource source(Link &Of) {
+    RegistrySource Calls;
+    Calls.ReadPage = [this, &Of](std::string From) {
+      return readPage(Of, std::move(From));
+    };
+    Calls.Watch = [this, &Of](StoreRevision After, Milliseconds Wait) {
+      return watch(Of, After.value(), Wait);
+    };
+    return Calls;
+  }
+
+  void announce(const ServerRecord &Record) {
+    ++Stored.Revision;
+    Stored.Entries[Record.Name] = {.Record = Record,
+                                   .Revision = Stored.Revision};
+    record({.Name = Record.Name, .Record = Record});
+  }
+  void withdraw(const std::string &Name) {
+    ++Stored.Revision;
+    Stored.Entries.erase(Name);
+    record({.Name = Name});
+  }
+  void publish(const RouteSet &Routes) {
+    ++Stored.Revision;
+    Stored.Routes = Routes;
+    record({.Routes = Routes});
+  }
+  //! Other writers raise the revision.
+  void writeOtherKeys(unsigned Count) { Stored.Revision += Count; }
+
+  const Content &content() const { return Stored; }
+  void restore(Content Copy) {
+    Stored = std::move(Copy);
+    ++Era;
+    Changed.notifyAll();
+  }
+
+  std::size_t PageEntries = 500;
+
+private:
+  void record(Content::Event Next) {
+    Next.Revision = Stored.Revision;
+    Stored.History.push_back(std::move(Next));
+    Changed.notifyAll();
+  }
+
+  static Error refusal(ErrorCode Code) {
+    return {.Code = Code, .Step = "test", .Message = "as scripted"};
+  }
+
+  RegistryChanges changes() const {
+    RegistryChanges Result;
+    Result.AsOf = StoreRevision(Stored.Revision);
+    Result.Era = StoreEra(Era);
+    return Result;
+  }
+
+  Task<Expected<RegistryPage>> readPage(Link &Of, std::string From) {
+    ++Of.Reads;
+    if (Of.TurnedAway)
+      co_return Unexpected(refusal(ErrorCode::Refused));
+    RegistryPage Page{.Changes = changes()};
+    if (From.empty())
+      Page.Changes.Routes = Stored.Routes;
+    for (auto Next = Stored.Entries.upper_bound(From);
+         Next != Stored.Entries.end(); ++Next) {
+      if (Page.Changes.Servers.size() == PageEntries) {
+        Page.Next = Page.Changes.Servers.back().Name;
+        break;
+      }
+      Page.Changes.Servers.push_back(
+          {.Name = Next->first,
+           .Revision = StoreRevision(Next->second.Revision),
+           .Record = Next->second.Record});
+    }
+    co_return Page;
+  }
+
+  Task<Expected<RegistryChanges>> watch(Link &Of, std::uint64_t After,
+                                        Milliseconds Wait) {
+    ++Of.Watches;
+    const TimePoint Due = Clock::now() + Wait;
+    while (true) {
+      if (Of.TurnedAway)
+        co_return Unexpected(refusal(ErrorCode::Refused));
+      if (After > Stored.Revision)
+        co_return Unexpected(refusal(ErrorCode::Expired));
+      RegistryChanges Result = changes();
+      for (const Content::Event &Each : Stored.History) {
+        if (Each.Revision <= After)
+          continue;
+        ++Result.Events;
+        if (Each.Name.empty())
+          Result.Routes = Each.Routes;
+        else
+          Result.Servers.push_back({.Name = Each.Name,
+                                    .Revision = StoreRevision(Each.Revision),
+                                    .Record = Each.Record});
+      }
+      if (Result.Events > 0 || Clock::now() >= Due)
+        co_return Result;
+      co_await Changed.waitUntil(Due);
+    }
+  }
+
+  Content Stored;
+  std::uint64_t Era = 1;
+  Notifier Changed;
+};
+
+} // namespace buckthorndeck::forwarding
+
+#endif // BUCKTHORNDECK_FORWARDING_TESTS_RESTORABLESTORE_H
