--- a/packages/forwarding/src/buckthorndeck/forwarding/KnownRegistry.cpp
+++ b/packages/forwarding/src/buckthorndeck/forwarding/KnownRegistry.cpp
@@ -50,8 +50,9 @@
 
 void KnownRegistry::mergeSnapshot(RegistryChanges &Snapshot) {
   apply(Snapshot, EntryOrigin::Complete);
-  // The snapshot does not say how old it is, so that VerifiedAt stays.
-  if (Snapshot.AsOf > View.AsOf)
+  // Within an era, the view would miss the removals up to the snapshot. The
+  // snapshot does not say how old it is, so that VerifiedAt stays.
+  if (Snapshot.AsOf.Era > View.AsOf.Era || View.AsOf == StorePosition())
     moveTo(Snapshot.AsOf);
   else
     scheduleConfirmation();
--- a/packages/forwarding/src/buckthorndeck/forwarding/KnownRegistry.h
+++ b/packages/forwarding/src/buckthorndeck/forwarding/KnownRegistry.h
@@ -27,8 +27,8 @@
   //! of the first page: later ones may lack changes made since.
   void completeRead(std::vector<std::string> Present, StorePosition First,
                     BootClock::time_point Started);
-  //! Merges a peer's snapshot. The view continues from the snapshot if that is
-  //! further.
+  //! Merges a peer's snapshot. The view continues from the snapshot if it is of
+  //! a later era or the first thing known.
   void mergeSnapshot(RegistryChanges &Snapshot);
   //! Applies changes that lead on from the view. VerifiedAt is the time up to
   //! which they are complete, if that is known.
--- a/packages/forwarding/src/buckthorndeck/forwarding/RegistryReader.cpp
+++ b/packages/forwarding/src/buckthorndeck/forwarding/RegistryReader.cpp
@@ -212,6 +212,7 @@
     From = *Page->Next;
   }
   Known.completeRead(std::move(PresentNames), *First, Started);
+  ServedChanges.recordAttempt();
   if (InitialLoad)
     co_await askPeerAhead();
   if (!Loaded)
--- a/packages/forwarding/tests/RestorableStore.h
+++ b/packages/forwarding/tests/RestorableStore.h
@@ -41,6 +41,9 @@
     bool TurnedAway = false;
     unsigned Reads = 0;
     unsigned Watches = 0;
+    //! Called at the start of each read.
+    std::function<void()> OnRead;
+    bool ExpireOnce = false; //!< The next watch is told so.
   };
 
   RegistrySource source(Link &Of) {
@@ -76,11 +79,14 @@
   void writeOtherKeys(unsigned Count) { Stored.Revision += Count; }
 
   const Content &content() const { return Stored; }
-  void restore(Content Copy) {
+  void restore(Content Copy) { restore(std::move(Copy), Era + 1); }
+  //! Answers come from NextEra on.
+  void restore(Content Copy, std::uint64_t NextEra) {
     Stored = std::move(Copy);
-    ++Era;
+    Era = NextEra;
     Changed.notifyAll();
   }
+  std::uint64_t era() const { return Era; }
 
   std::size_t PageEntries = 500;
 
@@ -102,6 +108,8 @@
   }
 
   Task<Expected<RegistryPage>> readPage(Link &Of, std::string From) {
+    if (Of.OnRead)
+      Of.OnRead();
     ++Of.Reads;
     if (Of.TurnedAway)
       co_return Unexpected(refusal(ErrorCode::Refused));
@@ -129,7 +137,7 @@
     while (true) {
       if (Of.TurnedAway)
         co_return Unexpected(refusal(ErrorCode::Refused));
-      if (After > Stored.Revision)
+      if (After > Stored.Revision || std::exchange(Of.ExpireOnce, false))
         co_return Unexpected(refusal(ErrorCode::Expired));
       RegistryChanges Result = changes();
       for (const Content::Event &Each : Stored.History) {
--- a/packages/forwarding/tests/RestoredStoreTests.cpp
+++ b/packages/forwarding/tests/RestoredStoreTests.cpp
@@ -9,14 +9,19 @@
 
 namespace {
 
+//! Longer than any step of a test before it is to end.
+constexpr Milliseconds LongTime = std::chrono::hours(1);
+
 //! One host and the store that it reads, with two servers and version 1.
 class RestoredFixture {
 public:
-  RestoredFixture() {
+  explicit RestoredFixture(Milliseconds ConfirmationTime)
+      : ConfirmationTime(ConfirmationTime) {
     Store.publish(makeRoutes(1));
     Store.announce(makeServer(0));
     Store.announce(makeServer(1));
   }
+  RestoredFixture() : RestoredFixture(LongTime) {}
 
   //! Starts the host and returns once it watches.
   void start() {
@@ -46,6 +51,15 @@
     return Host.servers().find(tokenOf(makeServer(Number)));
   }
 
+  //! Restores Copy and returns once the host knows the new era.
+  void restore(RestorableStore::Content Copy) {
+    Store.restore(std::move(Copy));
+    waitFor([this, Before = Reader.knowledge().Era] {
+      return Reader.knowledge().Era > Before;
+    });
+  }
+
+  Milliseconds ConfirmationTime;
   boost::asio::io_context Context;
   RestorableStore Store{Context.get_executor()};
   RestorableStore::Link Link;
@@ -58,6 +72,7 @@
       {.WatchWait = Milliseconds(20),
        .ChangePause = Milliseconds(1),
        .RelayWait = Milliseconds(20),
+       .ConfirmationTime = ConfirmationTime,
        .Backoff = {.First = Milliseconds(1), .Max = Milliseconds(1)}},
       Store.source(Link),
       Host,
@@ -127,3 +142,158 @@
   REQUIRE(Site.server(1));
   CHECK(Site.server(1)->Record.Draining);
 }
+
+TEST_CASE("A server that stands as ready in the copy stays draining",
+          "[restored_store]") {
+  // Guards against DRAIN after a restoration that lost the announcement.
+  RestoredFixture Site;
+  Site.start();
+  const auto Copy = Site.Store.content();
+  ServerRecord Draining = makeServer(1);
+  Draining.Draining = true;
+  Site.Store.announce(Draining);
+  Site.waitFor([&] { return Site.server(1)->Record.Draining; });
+  Site.restore(Copy);
+  CHECK(Site.server(1)->Record.Draining);
+  CHECK(Site.server(1)->Registered);
+}
+
+TEST_CASE("A server that is missing from the copy stays in use until it has "
+          "had the time to register again",
+          "[restored_store]") {
+  // Guards against living servers that are suspected because a copy is older
+  // than they are.
+  RestoredFixture Site;
+  Site.start();
+  const auto Copy = Site.Store.content();
+  Site.Store.announce(makeServer(2));
+  Site.waitFor([&] { return Site.server(2) != nullptr; });
+  Site.restore(Copy);
+  CHECK(Site.server(2)->Registered);
+  CHECK(Site.Reader.knowledge().Confirming);
+  Site.Store.announce(makeServer(2));
+  Site.waitFor([&] { return Site.server(2)->Position.Era == StoreEra(2); });
+  CHECK(Site.server(2)->Registered);
+}
+
+TEST_CASE("A server that isn't written again in time is gone",
+          "[restored_store]") {
+  RestoredFixture Site(Milliseconds(30));
+  Site.start();
+  const auto Copy = Site.Store.content();
+  Site.Store.announce(makeServer(2));
+  Site.waitFor([&] { return Site.server(2) != nullptr; });
+  const unsigned ReadsBefore = Site.Link.Reads;
+  Site.restore(Copy);
+  Site.waitFor([&] { return !Site.server(2)->Registered; });
+  CHECK_FALSE(Site.Reader.knowledge().Confirming);
+  // One complete read a restoration: calls are priced.
+  CHECK(Site.Link.Reads == ReadsBefore + 1);
+}
+
+TEST_CASE("A server that has left does not come back by the copy while its "
+          "entry there may lapse",
+          "[restored_store]") {
+  // Guards against flows to the address of a server that is gone.
+  RestoredFixture Site;
+  Site.start();
+  const auto Copy = Site.Store.content();
+  Site.Store.withdraw(makeServer(1).Name);
+  Site.waitFor([&] { return !Site.server(1)->Registered; });
+  Site.restore(Copy);
+  CHECK_FALSE(Site.server(1)->Registered);
+  Site.Store.withdraw(makeServer(1).Name);
+  Site.Store.publish(makeRoutes(2));
+  Site.waitInForce(2);
+  CHECK_FALSE(Site.server(1)->Registered);
+}
+
+TEST_CASE("A server whose entry lapsed before the restoration is used again "
+          "if its entry in the copy lasts",
+          "[restored_store]") {
+  // A living server need not write an entry again that the copy has.
+  RestoredFixture Site(Milliseconds(30));
+  Site.start();
+  const auto Copy = Site.Store.content();
+  Site.Store.withdraw(makeServer(1).Name);
+  Site.waitFor([&] { return !Site.server(1)->Registered; });
+  Site.restore(Copy);
+  CHECK_FALSE(Site.server(1)->Registered);
+  Site.waitFor([&] { return Site.server(1)->Registered; });
+}
+
+TEST_CASE("A process that started again while its clock was set back counts "
+          "after the confirmation time",
+          "[restored_store]") {
+  // Its report looks older than the one of the former process.
+  RestoredFixture Site(Milliseconds(30));
+  Site.start();
+  const auto Copy = Site.Store.content();
+  Site.Link.TurnedAway = true;
+  Site.waitFor([&, Before = Site.Link.Watches] {
+    return Site.Link.Watches > Before + 1;
+  });
+  Site.Store.restore(Copy);
+  ServerRecord Earlier = makeServer(1);
+  Earlier.StartTime = Incarnation(Earlier.StartTime.value() - 5000);
+  Site.Store.announce(Earlier);
+  Site.Link.TurnedAway = false;
+  Site.waitFor([&] {
+    const Server *Found = Site.Host.servers().find(tokenOf(Earlier));
+    return Found && Found->Registered;
+  });
+  CHECK_FALSE(Site.server(1)->Registered);
+}
+
+TEST_CASE("A host never goes back to an older version", "[restored_store]") {
+  // Guards against a copy's configuration that is put into force (CONFIG).
+  RestoredFixture Site;
+  Site.start();
+  const auto Copy = Site.Store.content();
+  Site.Store.publish(makeRoutes(7));
+  Site.waitInForce(7);
+  Site.restore(Copy);
+  CHECK(Site.Host.routes().version() == ConfigVersion(7));
+  Site.Store.publish(makeRoutes(7));
+  Site.Store.publish(makeRoutes(8));
+  Site.waitInForce(8);
+  CHECK(Site.Host.routes().version() == ConfigVersion(8));
+}
+
+TEST_CASE("A read in pages that spans a restoration is made again",
+          "[restored_store]") {
+  // The first page is of one era, the others of the next, which lacks a server
+  // that is known in the first: it would be taken as gone.
+  RestoredFixture Site;
+  Site.Store.PageEntries = 1;
+  Site.start();
+  const auto Copy = Site.Store.content();
+  Site.Store.announce(makeServer(2));
+  Site.waitFor([&] { return Site.server(2) != nullptr; });
+  unsigned Pages = 0;
+  Site.Link.OnRead = [&] {
+    if (++Pages == 2)
+      Site.Store.restore(Copy);
+  };
+  Site.Link.ExpireOnce = true;
+  Site.waitFor([&] { return Site.Reader.knowledge().Era == StoreEra(2); });
+  CHECK(Pages > 2);
+  for (unsigned Number = 0; Number < 3; ++Number)
+    CHECK(Site.server(Number)->Registered);
+}
+
+TEST_CASE("An answer of a former era is not used", "[restored_store]") {
+  // It comes late over a slow link, after one of the new era.
+  RestoredFixture Site;
+  Site.start();
+  const auto Copy = Site.Store.content();
+  Site.restore(Copy);
+  Site.Store.restore(Copy, 1);
+  const unsigned Before = Site.Link.Watches;
+  Site.Store.withdraw(makeServer(1).Name);
+  Site.waitFor([&] { return Site.Link.Watches > Before + 3; });
+  CHECK(Site.server(1)->Registered);
+  CHECK(Site.Reader.knowledge().Era == StoreEra(2));
+  Site.Store.restore(Site.Store.content(), 3);
+  Site.waitFor([&] { return Site.Reader.knowledge().Era == StoreEra(3); });
+}
