Store stand-in and soak: the store comes back from a copy

RegistryStore::restore() loses what was written since, gives revisions out again and raises the era, which all answers name. The soak has the fault store_restored; its writers write again within 2 s, and entries of servers that are gone lapse after 3.6 s.

Tests of relays, starting hosts and earlier versions. The first of them failed: a relay refused its followers on a 410, so that each of them read the store.

--- a/packages/faults/src/buckthorndeck/faults/PacketFaults.cpp
+++ b/packages/faults/src/buckthorndeck/faults/PacketFaults.cpp
@@ -17,6 +17,12 @@
 constexpr Milliseconds DrainTime{3000};
 //! Longest time after which addresses are given to other servers.
 constexpr Milliseconds ReuseDelay{2000};
+//! Oldest copy that the store comes back from.
+constexpr Milliseconds MaxCopyAge{9000};
+//! Longest time until its writers have written again what the copy lacks.
+constexpr Milliseconds RewriteTime{2000};
+//! An entry that no server renews lapses after this: three heartbeats.
+constexpr Milliseconds EntryLifetime{3600};
 constexpr Milliseconds PollInterval{20};
 //! All hosts restarted in turn take up to 6 s each.
 constexpr Milliseconds EndLimit{60'000};
@@ -89,6 +95,7 @@
       {"store_slow", &Self::slowStore, StoreFault},
       {"store_loses_answers", &Self::loseStoreAnswers, StoreFault},
       {"store_forgets_history", &Self::forgetHistory, StoreFault},
+      {"store_restored", &Self::restoreStore, Other},
       {"store_forgets_watches", &Self::forgetWatches, StoreFault},
       {"store_cuts_watches", &Self::cutWatches, StoreFault},
       {"host_cut_from_store", &Self::cutHostFromStore, HostFault},
@@ -252,6 +259,30 @@
   co_return;
 }
 
+//! The store is away and comes back from a copy. Its writers write again within
+//! two seconds.
+Task<> PacketFaults::restoreStore() {
+  {
+    const Disturbance Harm(Site.storeState());
+    platform::StoreFaults Faults;
+    Faults.Down = true;
+    Site.store().setFaults(Faults);
+    Site.store().cutWatches();
+    co_await sleepFor(between(Short, Long));
+    Site.store().restore(between(Short, MaxCopyAge));
+    Site.store().setFaults({});
+  }
+  spawn(Site.executor(), "lapse", track("lapse", lapseEntries()));
+  co_await sleepFor(between(Milliseconds(0), RewriteTime));
+  Site.writeAgain();
+}
+
+//! Entries of servers that are gone lapse some time after the copy came back.
+Task<> PacketFaults::lapseEntries() {
+  co_await sleepFor(EntryLifetime);
+  Site.lapseEntries();
+}
+
 Task<> PacketFaults::forgetWatches() {
   const Disturbance Harm(Site.storeState());
   Site.store().forgetWatches();
--- a/packages/faults/src/buckthorndeck/faults/PacketFaults.h
+++ b/packages/faults/src/buckthorndeck/faults/PacketFaults.h
@@ -59,6 +59,8 @@
   Task<> slowStore();
   Task<> loseStoreAnswers();
   Task<> forgetHistory();
+  Task<> restoreStore();
+  Task<> lapseEntries();
   Task<> forgetWatches();
   Task<> cutWatches();
   Task<> cutHostFromStore();
--- a/packages/faults/src/buckthorndeck/faults/PacketSite.cpp
+++ b/packages/faults/src/buckthorndeck/faults/PacketSite.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/ip/address_v4.hpp>
 #include <charconv>
 #include <fstream>
+#include <set>
 #include <stdexcept>
 
 namespace buckthorndeck::faults {
@@ -235,6 +236,7 @@
 
 void PacketSite::unregister(PacketSiteServer &Server) {
   Store->withdraw(Server.Process->record().Name);
+  Server.Unregistered = true;
   if (!Server.DrainedAt)
     Server.DrainedAt = Clock::now();
 }
@@ -254,6 +256,24 @@
   Versions.push_back({.Routes = std::move(Routes), .At = Clock::now()});
 }
 
+void PacketSite::writeAgain() {
+  if (!Versions.empty())
+    Store->publish(Versions.back().Routes);
+  for (const PacketSiteServer &Server : Servers)
+    if (Server.Process->alive() && !Server.Unregistered)
+      Store->announce(Server.Process->record());
+}
+
+void PacketSite::lapseEntries() {
+  std::set<std::string> Renewed;
+  for (const PacketSiteServer &Server : Servers)
+    if (Server.Process->alive() && !Server.Unregistered)
+      Renewed.insert(Server.Process->record().Name);
+  for (const PacketSiteServer &Server : Servers)
+    if (!Renewed.contains(Server.Process->record().Name))
+      Store->withdraw(Server.Process->record().Name);
+}
+
 PacketSiteHost *PacketSite::hostAt(const UdpEndpoint &Packets) {
   for (PacketSiteHost &Host : Hosts)
     if (Host.Packets == Packets)
--- a/packages/faults/src/buckthorndeck/faults/PacketSite.h
+++ b/packages/faults/src/buckthorndeck/faults/PacketSite.h
@@ -82,7 +82,8 @@
   Calm State;
   //! When the store accepted that it drains or is gone.
   std::optional<TimePoint> DrainedAt;
-  bool Busy = false; //!< Some fault has chosen it.
+  bool Unregistered = false; //!< Its entry was taken out for good.
+  bool Busy = false;         //!< Some fault has chosen it.
 };
 
 //! Configuration versions as the store accepted them.
@@ -126,6 +127,11 @@
   void unregister(PacketSiteServer &Server);
   //! Publishes the next version.
   void publish();
+  //! Writes again what the store lacks since it came back from a copy: the last
+  //! version and the entries of the servers that run.
+  void writeAgain();
+  //! Takes the entries of servers out that no process renews.
+  void lapseEntries();
 
   std::deque<PacketSiteHost> &hosts() { return Hosts; }
   std::deque<PacketSiteServer> &servers() { return Servers; }
--- a/packages/faults/tests/SoakTests.cpp
+++ b/packages/faults/tests/SoakTests.cpp
@@ -72,6 +72,21 @@
   CHECK(Report.Faults.size() > 5);
 }
 
+TEST_CASE("The packet path keeps its promises while the store comes back from "
+          "copies") {
+  // Guards against incident 31: versions that aren't in force, that go back,
+  // and flows to servers that drain, while hosts and servers come and go.
+  const std::uint64_t Seed = GENERATE(1, 2);
+  const SoakReport Report = runSeed(
+      {.Length = Milliseconds(10'000),
+       .MaxPause = Milliseconds(1000),
+       .Kinds = {"store_restored", "config", "server_replaced",
+                 "restart_in_turn", "kill_host", "host_cut_from_store"}},
+      Seed);
+  CHECK(Report.Outcomes.at("answered") > 100);
+  CHECK(Report.Faults.at("store_restored") > 0);
+}
+
 TEST_CASE("Flows that were opened at a server just after it had started again "
           "are not reset by hosts") {
   // Hosts place flows at the new process before they have read its entry. With
--- a/packages/forwarding/src/buckthorndeck/forwarding/RegistryReader.cpp
+++ b/packages/forwarding/src/buckthorndeck/forwarding/RegistryReader.cpp
@@ -322,9 +322,13 @@
   if (!Changes) {
     recordCallResult(Changes.error());
     StoreFailed = true;
-    ServedChanges.recordAttempt();
+    // After a complete read, peers that wait are answered by this host. Refused
+    // now, they would all read the store.
+    const bool Expired = Changes.error().Code == ErrorCode::Expired;
+    if (!Expired)
+      ServedChanges.recordAttempt();
     co_await pauseAfterFailure(Started);
-    co_return Changes.error().Code != ErrorCode::Expired;
+    co_return !Expired;
   }
   recordCallResult(std::nullopt);
   logWatch(*Changes);
--- a/packages/forwarding/tests/PeersTests.cpp
+++ b/packages/forwarding/tests/PeersTests.cpp
@@ -34,6 +34,41 @@
   CHECK(encodeHeartbeat(Sent).size() < 1024);
 }
 
+TEST_CASE("A heartbeat tells what its sender knows of the store", "[peers]") {
+  PeerHeartbeat Sent{.Sender = makePeer(1)};
+  // A host of an earlier version says nothing.
+  CHECK_FALSE(decodeHeartbeat(encodeHeartbeat(Sent), "test")->Knowledge);
+  Sent.Knowledge = {
+      .Era = StoreEra(3), .Config = ConfigVersion(17), .Confirming = true};
+  const auto Received = decodeHeartbeat(encodeHeartbeat(Sent), "test");
+  REQUIRE(Received);
+  REQUIRE(Received->Knowledge);
+  CHECK(Received->Knowledge->Era == StoreEra(3));
+  CHECK(Received->Knowledge->Config == ConfigVersion(17));
+  CHECK(Received->Knowledge->Confirming);
+}
+
+TEST_CASE("A peer is ahead if it may know what a read of the store lacks",
+          "[peers]") {
+  const RegistryKnowledge Own{.Era = StoreEra(2), .Config = ConfigVersion(5)};
+  const auto IsAhead = [&](RegistryKnowledge Theirs) {
+    PeerDirectory Peers(makePeer(1), {});
+    Peers.update({.Sender = makePeer(2), .Knowledge = Theirs}, Start);
+    return Peers.peerAheadOf(Own).has_value();
+  };
+  CHECK_FALSE(IsAhead(Own));
+  CHECK_FALSE(IsAhead({.Era = StoreEra(2), .Config = ConfigVersion(4)}));
+  CHECK(IsAhead({.Era = StoreEra(2), .Config = ConfigVersion(6)}));
+  CHECK(IsAhead({.Era = StoreEra(1), .Config = ConfigVersion(5)}));
+  CHECK(IsAhead(
+      {.Era = StoreEra(2), .Config = ConfigVersion(5), .Confirming = true}));
+  // It has not loaded anything.
+  CHECK_FALSE(IsAhead({.Era = StoreEra(0)}));
+  PeerDirectory Peers(makePeer(1), {});
+  Peers.update({.Sender = makePeer(2)}, Start);
+  CHECK_FALSE(Peers.peerAheadOf(Own));
+}
+
 TEST_CASE("Truncated heartbeats are rejected and corrupt ones do not crash",
           "[peers]") {
   const Bytes Valid =
