--- a/packages/forwarding/src/buckthorndeck/forwarding/RegistryOrder.h
+++ b/packages/forwarding/src/buckthorndeck/forwarding/RegistryOrder.h
@@ -49,7 +49,7 @@
   friend std::strong_ordering operator<=>(const StorePosition &First,
                                           const StorePosition &Second) {
     const auto ByEra = First.Era <=> Second.Era;
-    return ByEra != 0 ? ByEra : First.Revision <=> Second.Revision;
+    return std::is_neq(ByEra) ? ByEra : First.Revision <=> Second.Revision;
   }
 };
 
@@ -64,7 +64,7 @@
   friend std::strong_ordering operator<=>(const ServerReport &First,
                                           const ServerReport &Second) {
     const auto ByStart = First.StartTime <=> Second.StartTime;
-    return ByStart != 0 ? ByStart : First.Sequence <=> Second.Sequence;
+    return std::is_neq(ByStart) ? ByStart : First.Sequence <=> Second.Sequence;
   }
 };
 
--- a/packages/forwarding/src/buckthorndeck/forwarding/RegistryReader.cpp
+++ b/packages/forwarding/src/buckthorndeck/forwarding/RegistryReader.cpp
@@ -386,8 +386,10 @@
       FailedLoads = 0;
       co_await watchChanges();
     } else {
-      co_await pause(
-          config::backoffDelay(Options.Backoff, FailedLoads++, Random));
+      const Milliseconds Delay =
+          config::backoffDelay(Options.Backoff, FailedLoads, Random);
+      ++FailedLoads;
+      co_await pause(Delay);
     }
   }
 }
