--- a/packages/forwarding/tests/FlowSafetyTests.cpp
+++ b/packages/forwarding/tests/FlowSafetyTests.cpp
@@ -24,6 +24,32 @@
   CHECK(Responses > Seeds * 1000);
 }
 
+TEST_CASE(
+    "No calm host resets an open flow because the registry came back from "
+    "a copy",
+    "[safety]") {
+  // Guards against a copy that is taken for news of servers: those that are
+  // missing from it, that stand there as a former process, or whose address
+  // another service has now (incident 31).
+  constexpr std::uint64_t Seeds = 40;
+  for (std::uint64_t Seed = 1; Seed <= Seeds; ++Seed) {
+    SimulatedSite Site(
+        {.Seed = Seed,
+         .Kinds = {SimulatedFault::StoreRestored, SimulatedFault::ServerRestart,
+                   SimulatedFault::AddressReused, SimulatedFault::EntryLapse,
+                   SimulatedFault::OddEntry, SimulatedFault::StoreLost,
+                   SimulatedFault::ServerCut},
+         .HostFaultsExcuse = false});
+    Site.run();
+    INFO("seed " << Seed);
+    // Each caller; flows last long without changes of routes.
+    CHECK(Site.flowsOpened() > 40);
+    CHECK(Site.responses() > 30 * 40 / 2);
+    for (const std::string &Violation : Site.violations())
+      FAIL_CHECK(Violation);
+  }
+}
+
 TEST_CASE("Flows of servers that can't be reached are reset", "[safety]") {
   // Guards against hosts that never reset a flow, which would keep the promise
   // above but leave callers waiting for their deadlines.
--- a/packages/forwarding/tests/SimulatedSite.cpp
+++ b/packages/forwarding/tests/SimulatedSite.cpp
@@ -16,6 +16,11 @@
 constexpr Milliseconds MaxUndetectedPause{200};
 constexpr Milliseconds HeartbeatInterval{1200};
 constexpr Milliseconds EntryLifetime{3600};
+//! Longest time until servers have written again what a copy lacks.
+constexpr Milliseconds RewriteTime{2000};
+//! As in RegistryReaderOptions.
+constexpr Milliseconds ConfirmationTime{4500};
+constexpr std::size_t MaxCopies = 15;
 constexpr Milliseconds RequestDeadline{1000};
 constexpr std::uint16_t RequestBytes = 100;
 constexpr std::uint32_t ResponseBytes = 1000;
@@ -58,6 +63,8 @@
     return "route_readded";
   case SimulatedFault::RotationChanged:
     return "rotation_changed";
+  case SimulatedFault::StoreRestored:
+    return "store_restored";
   }
   return "unknown";
 }
@@ -68,8 +75,12 @@
   for (unsigned Number = 0; Number < 9; ++Number) {
     auto Added = std::make_unique<Process>();
     Added->Record = makeServer(Number, Domains[Number % 3]);
+    Stored.Entries[Added->Record.Name] = {
+        .Record = Added->Record,
+        .Position = forwarding::at(Stored.Revision, Era)};
     Processes.push_back(std::move(Added));
   }
+  keepCopy();
   for (std::size_t Number = 0; Number < Options.Hosts; ++Number) {
     Hosts.push_back(std::make_unique<Host>(
         ForwarderOptions{.Domain = FailureDomainName(Domains[Number % 3]),
@@ -78,7 +89,8 @@
     Host &Where = *Hosts.back();
     Where.Logic.applyRoutes(makeRoutes(Version));
     for (const auto &Each : Processes)
-      Where.Logic.updateServer(Each->Record, forwarding::at(Revision), Now);
+      Where.Logic.updateServer(Each->Record,
+                               forwarding::at(Stored.Revision, Era), Now);
     after(between(0, TickInterval.count()), [this, &Where] { tick(Where); });
   }
   for (std::size_t Number = 0; Number < Options.Callers; ++Number)
@@ -173,33 +185,115 @@
   after(TickInterval, [this, &Where] { tick(Where); });
 }
 
-//! Makes a change of the registry known to each host, in order.
-void SimulatedSite::publish(
-    std::function<void(Forwarder &, StorePosition, TimePoint)> Apply) {
-  const StorePosition Changed = forwarding::at(++Revision);
+//! Does Work at each host as its store's answers arrive, in order.
+void SimulatedSite::deliver(std::function<void(Host &)> Work) {
   for (const auto &Each : Hosts) {
     Host &Where = *Each;
     const Milliseconds Lag = chance(0.7) ? between(5, 30) : between(30, 1500);
     Where.LastDelivery = std::max(
         {Where.LastDelivery, Now + Lag, Where.StoreLostUntil + between(5, 50)});
-    at(Where.LastDelivery, [this, &Where, Changed, Apply] {
-      runOnHost(Where, [this, &Where, Changed, Apply] {
-        Apply(Where.Logic, Changed, steadyTime(Where));
-      });
+    at(Where.LastDelivery, [this, &Where, Work] {
+      runOnHost(Where, [&Where, Work] { Work(Where); });
     });
   }
 }
 
-void SimulatedSite::publishServer(const ServerRecord &Record) {
+//! Makes a change of the registry known to each host.
+void SimulatedSite::publish(
+    std::function<void(Forwarder &, StorePosition, TimePoint)> Apply) {
+  const StorePosition Changed = forwarding::at(++Stored.Revision, Era);
+  deliver([this, Changed, Apply](Host &Where) {
+    Apply(Where.Logic, Changed, steadyTime(Where));
+  });
+}
+
+void SimulatedSite::keepCopy() {
+  Copies.push_back(Stored);
+  if (Copies.size() > MaxCopies)
+    Copies.pop_front();
+}
+
+void SimulatedSite::publishServer(const ServerRecord &Reported) {
+  ServerRecord Record = Reported;
+  Record.Sequence = ++Reports;
   publish([Record](Forwarder &Logic, StorePosition Changed, TimePoint When) {
     Logic.updateServer(Record, Changed, When);
   });
+  Stored.Entries[Record.Name] = {
+      .Record = Record, .Position = forwarding::at(Stored.Revision, Era)};
+  keepCopy();
 }
 
 void SimulatedSite::publishRemoval(const std::string &Name) {
   publish([Name](Forwarder &Logic, StorePosition Changed, TimePoint When) {
     Logic.removeServer(Name, Changed, When);
   });
+  Stored.Entries.erase(Name);
+  keepCopy();
+}
+
+//! The store comes back from a copy; hosts read it whole, servers write again.
+void SimulatedSite::restoreStore() {
+  Stored = Copies[randomBelow(Random, Copies.size())];
+  ++Era;
+  for (auto &[Name, Entry] : Stored.Entries)
+    Entry.Position.Era = StoreEra(Era);
+  deliver([this, Copy = Stored, Read = StoreEra(Era)](Host &Where) {
+    readRestored(Where, Copy, Read);
+  });
+  after(between(0, RewriteTime.count()), [this, Restored = Era] {
+    if (Restored == Era)
+      writeAgain();
+  });
+  after(EntryLifetime, [this, Restored = Era] {
+    if (Restored == Era)
+      lapseEntries();
+  });
+}
+
+void SimulatedSite::readRestored(Host &Where, const Registry &Copy,
+                                 StoreEra Read) {
+  std::vector<std::string> Present;
+  for (const auto &[Name, Entry] : Copy.Entries) {
+    Present.push_back(Name);
+    Where.Logic.updateServer(Entry.Record, Entry.Position, steadyTime(Where),
+                             LogLevel::Info, EntryOrigin::Complete);
+  }
+  Where.Logic.retainServers(
+      std::move(Present),
+      {.Era = Read, .Revision = StoreRevision(Copy.Revision)},
+      steadyTime(Where));
+  // The host confirms once it has seen all changes of that time.
+  after(ConfirmationTime, [this, &Where, Read] {
+    at(std::max(Where.LastDelivery, Now), [this, &Where, Read] {
+      runOnHost(Where, [this, &Where, Read] {
+        if (Read == StoreEra(Era))
+          Where.Logic.confirmServers(Read, steadyTime(Where));
+      });
+    });
+  });
+}
+
+//! Servers write what the copy lacks or has otherwise.
+void SimulatedSite::writeAgain() {
+  for (const auto &Each : Processes) {
+    const auto Found = Stored.Entries.find(Each->Record.Name);
+    if (Each->Running && reaches(*Each) &&
+        (Found == Stored.Entries.end() ||
+         tokenOf(Found->second.Record) != tokenOf(Each->Record)))
+      publishServer(Each->Record);
+  }
+}
+
+void SimulatedSite::lapseEntries() {
+  for (const auto &[Name, Entry] : std::map(Stored.Entries)) {
+    const bool Renewed =
+        std::any_of(Processes.begin(), Processes.end(), [&](const auto &Each) {
+          return Each->Running && Each->Record.Name == Name;
+        });
+    if (!Renewed)
+      publishRemoval(Name);
+  }
 }
 
 void SimulatedSite::publishRoutes(bool WithFloor) {
@@ -599,7 +693,7 @@
     });
     return;
   case SimulatedFault::OddEntry: {
-    ServerRecord Odd = makeServer(500 + static_cast<unsigned>(Revision));
+    ServerRecord Odd = makeServer(500 + static_cast<unsigned>(Reports));
     Odd.Service = Press;
     Odd.Address = Target.Record.Address;
     publishServer(Odd);
@@ -641,6 +735,8 @@
       publishRoutes(true);
     });
     return;
+  case SimulatedFault::StoreRestored:
+    return restoreStore();
   case SimulatedFault::RotationChanged:
     if (std::count_if(Hosts.begin(), Hosts.end(),
                       [](const auto &Each) { return Each->InRotation; }) > 2 ||
--- a/packages/forwarding/tests/SimulatedSite.h
+++ b/packages/forwarding/tests/SimulatedSite.h
@@ -25,8 +25,9 @@
   StoreLost,        //!< A host gets no changes of the registry.
   RouteReadded,     //!< A version removes a route, a later one adds it again.
   RotationChanged,  //!< The routers send most flows to other hosts.
+  StoreRestored,    //!< The registry comes back from a copy of itself.
 };
-inline constexpr std::size_t SimulatedFaultCount = 13;
+inline constexpr std::size_t SimulatedFaultCount = 14;
 
 const char *toString(SimulatedFault Kind);
 
@@ -130,8 +131,20 @@
   void performDueActions(Host &Where);
   void tick(Host &Where);
 
+  //! What the store holds, and what its copies hold.
+  struct Registry {
+    std::map<std::string, RegistryEntry> Entries;
+    std::uint64_t Revision = 1000;
+  };
+
+  void deliver(std::function<void(Host &)> Work);
   void
   publish(std::function<void(Forwarder &, StorePosition, TimePoint)> Apply);
+  void keepCopy();
+  void restoreStore();
+  void readRestored(Host &Where, const Registry &Copy, StoreEra Read);
+  void writeAgain();
+  void lapseEntries();
   void publishServer(const ServerRecord &Record);
   void publishRemoval(const std::string &Name);
   void publishRoutes(bool WithFloor);
@@ -185,7 +198,10 @@
   std::map<std::uint16_t, FlowPointer> Flows;
   std::uint16_t NextPort = 1;
   std::uint32_t NextAddress = 0x0a020000;
-  std::uint64_t Revision = 1000;
+  Registry Stored;
+  std::deque<Registry> Copies; //!< The last on each change.
+  std::uint64_t Era = 1;
+  std::uint64_t Reports = 0; //!< Numbers what the servers write.
   std::uint64_t Version = 1;
   //! Flows opened before this had their route removed; max() while there is
   //! none.
