--- a/packages/forwarding/tests/RestoredRelayTests.cpp
+++ b/packages/forwarding/tests/RestoredRelayTests.cpp
@@ -214,7 +214,8 @@
           "once it answers",
           "[restored_store]") {
   // The snapshot's revision belongs to an unknown era.
-  RelayedFixture Site;
+  // A failed watch is repeated after half of the freshness limit at the latest.
+  RelayedFixture Site(Milliseconds(100));
   Site.Relay.HasEarlierVersion = true;
   Site.Relay.start(Site.Context.get_executor());
   runTask(Site.Context, Site.Relay.Reader.waitLoaded());
