Fault test: a port that is held already needs no holder

The test holds the host's port at 127.0.0.1, and threw if another socket held it already, which the kernel's choice of ports allows: the host has another address, so that its port number may be given to any connection of 127.0.0.1. Such a socket is what the test wants. The holder is now made unless the port is held, and the test goes on once nothing can listen there, which it did not check before.

--- a/packages/faults/tests/FaultTests.cpp
+++ b/packages/faults/tests/FaultTests.cpp
@@ -1,6 +1,7 @@
 #include "buckthorndeck/faults/Audit.h"
 #include "buckthorndeck/faults/Site.h"
 #include "buckthorndeck/faults/Traffic.h"
+#include "buckthorndeck/net/TcpListener.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/io_context.hpp>
@@ -19,6 +20,8 @@
 //! Calls and events that every caller must complete before and after a fault.
 constexpr unsigned Before = 5;
 constexpr unsigned After = 10;
+//! Between two attempts to hold a port.
+constexpr Milliseconds PollInterval{20};
 //! Time after which a draining server must get no new work.
 constexpr Milliseconds DrainLimit{3'000};
 
@@ -111,16 +114,32 @@
   Target.sprayOverAll();
 }
 
+//! Returns once nothing can listen at a port of 127.0.0.1, with a connection
+//! from that port unless another socket holds it already.
+Task<boost::asio::ip::tcp::socket> holdPort(Site &Target, std::uint16_t Port) {
+  const TcpEndpoint Held(boost::asio::ip::address_v4::loopback(), Port);
+  while (true) {
+    boost::asio::ip::tcp::socket Holder(Target.executor());
+    Holder.open(boost::asio::ip::tcp::v4());
+    boost::system::error_code InUse;
+    Holder.bind(Held, InUse);
+    if (!InUse)
+      Holder.connect(Target.platform().endpoint());
+    if (!listenTcp(Target.executor(), Held))
+      co_return Holder;
+    // A closed connection that keeps only sockets without reuse_address from
+    // the port.
+    co_await sleepFor(PollInterval);
+  }
+}
+
 //! Kills a host and starts it again at the same address.
 Task<> restartHost(Site &Target, Traffic &Callers) {
   const TcpEndpoint Sync = Target.host("entry-1").Addresses.Sync;
   co_await killHost(Target, Callers);
   // A connection that was made while the host was down got its port, and the
   // host could not start again.
-  boost::asio::ip::tcp::socket Holder(Target.executor());
-  Holder.open(boost::asio::ip::tcp::v4());
-  Holder.bind({boost::asio::ip::address_v4::loopback(), Sync.port()});
-  Holder.connect(Target.platform().endpoint());
+  const auto Holder = co_await holdPort(Target, Sync.port());
   co_await Target.addHost("entry-1", "middle");
   Target.sprayOverAll();
 }
