Configuration sync: a watch position ends with a failed call

Seen in a test: a platform that came back from a copy had lower revisions than a host had seen, and the host watched after its own until the counter had passed it (60 s without version 10, bound 5 s). The host kept the highest revision of all histories.

The position is now that of the last answer, and ends with a failed call or when the host stops watching; the next watch reports the current manifest. Versions order configurations, as before. A manifest that contradicts the version in force is logged.

--- a/packages/sync/src/buckthorndeck/sync/ConfigSync.cpp
+++ b/packages/sync/src/buckthorndeck/sync/ConfigSync.cpp
@@ -156,9 +156,10 @@
       ++Self->Counters.StaleDropped;
       co_return false;
     }
-    Self->Revision = std::max(Self->Revision, Read->Revision);
+    Self->WatchPosition = Read->Revision;
     const config::Manifest &Content = Read->ManifestContent;
     if (Content.Version <= Self->History.Version) {
+      Self->checkHistory(Content);
       ++Self->Counters.StaleDropped;
       co_return true;
     }
@@ -173,7 +174,25 @@
     co_return true;
   }
 
+  //! Logs a manifest that contradicts the version in force. An older one may
+  //! also be a stale read.
+  void checkHistory(const config::Manifest &Found) const {
+    if (Found.Version < History.Version)
+      log(LogLevel::Warn, "published_version_behind",
+          {{"version", History.Version.value()},
+           {"published", Found.Version.value()}});
+    else if (Found.Version == History.Version &&
+             Found.Version != ConfigVersion() &&
+             Found.ObjectsDigest != History.ObjectsDigest)
+      log(LogLevel::Error, "config_digest_conflict",
+          {{"version", History.Version.value()},
+           {"source", "platform"},
+           {"digest", config::formatDigest(History.ObjectsDigest)},
+           {"published", config::formatDigest(Found.ObjectsDigest)}});
+  }
+
   void platformFailed(const Error &Failure) {
+    WatchPosition = 0;
     if (std::has_single_bit(++Counters.PlatformFailures))
       log(LogLevel::Warn, "platform_call_failed",
           {{"error", describe(Failure)}, {"count", Counters.PlatformFailures}});
@@ -187,7 +206,7 @@
   //! Waits once for a new manifest and reads its version. Returns false if a
   //! platform call failed.
   static Task<bool> watchOnce(std::shared_ptr<Impl> Self) {
-    auto Watched = co_await Self->Platform.WaitForManifest(Self->Revision);
+    auto Watched = co_await Self->Platform.WaitForManifest(Self->WatchPosition);
     if (Self->Stopped)
       co_return true;
     if (!Watched) {
@@ -209,9 +228,10 @@
       co_return true;
     if (Version > Self->History.Version)
       co_return co_await readPlatform(Self, Found.Revision);
-    // The revision is not recorded before this point, so that a failed read is
+    Self->checkHistory(Found.ManifestContent);
+    // The position is not recorded before this point, so that a failed read is
     // repeated.
-    Self->Revision = std::max(Self->Revision, Found.Revision);
+    Self->WatchPosition = Found.Revision;
     co_return true;
   }
 
@@ -219,6 +239,7 @@
     unsigned Failures = 0;
     while (!Self->Stopped) {
       if (!Self->isPlatformWatcher()) {
+        Self->WatchPosition = 0;
         co_await waitForChange(Self, Self->now() + RecheckInterval);
         continue;
       }
@@ -430,8 +451,12 @@
   SyncCounters Counters;
   std::optional<Announcement> LatestAnnouncement; //!< With the highest version.
   EntryHostName LastFailedPeer;
-  std::uint64_t Revision = 0; //!< Of the newest manifest that was processed.
-  bool NeedsFullSet = false;  //!< Deltas did not fit the set in force.
+  //! Revision of the manifest that was processed last, after which the next
+  //! watch waits; 0: the watch reports the current manifest. A failed call ends
+  //! it: a platform that was away may be back from a copy, and then gives the
+  //! same revisions to other manifests.
+  std::uint64_t WatchPosition = 0;
+  bool NeedsFullSet = false; //!< Deltas did not fit the set in force.
   unsigned Transfers = 0;
   bool Stopped = false;
 };
--- a/packages/sync/src/buckthorndeck/sync/ConfigSync.h
+++ b/packages/sync/src/buckthorndeck/sync/ConfigSync.h
@@ -97,6 +97,10 @@
  * The platform watchers, two hosts per failure domain by default, read from the
  * platform. The other hosts pull from peers that announced a higher version or
  * report one in their heartbeats.
+ *
+ * Versions alone order configurations, and a host never goes back to a lower
+ * one. Revisions of the platform only say where to watch from, and only as long
+ * as each call is answered.
  */
 class ConfigSync {
 public:
--- a/packages/sync/tests/ConfigSyncTests.cpp
+++ b/packages/sync/tests/ConfigSyncTests.cpp
@@ -113,7 +113,9 @@
   }
 
   VirtualTime Time;
-  unsigned Published = 0; //!< Version and revision on the platform.
+  unsigned Published = 0; //!< Version on the platform.
+  //! By how much the platform's revision is below the version.
+  unsigned LostRevisions = 0;
   bool PlatformUp = true;
   unsigned StaleReads = 0; //!< Reads that return an old version.
   Milliseconds ReadDelay{5};
@@ -184,10 +186,11 @@
     for (int Waited = 0; Waited < 20'000; Waited += 50) {
       if (!Self->reachesPlatform(Index))
         co_return unavailable();
-      if (Self->Published > After)
+      const unsigned Revision = Self->Published - Self->LostRevisions;
+      if (Revision > After)
         co_return config::StoredManifest{.ManifestContent =
                                              manifestAt(Self->Published),
-                                         .Revision = Self->Published};
+                                         .Revision = Revision};
       co_await Self->Time.timeSource().SleepUntil(Self->Time.now() +
                                                   Milliseconds(50));
     }
@@ -209,7 +212,7 @@
     if (Version == 0)
       co_return config::PublishedSet{};
     co_return config::PublishedSet{.ManifestContent = manifestAt(Version),
-                                   .Revision = Version,
+                                   .Revision = Version - Self->LostRevisions,
                                    .Objects = setAt(Version)};
   }
 };
@@ -318,6 +321,28 @@
     CHECK(TestFleet.versionOf(I) == 4);
 }
 
+TEST_CASE("A version is in force although the platform came back from a copy "
+          "and its revisions are lower",
+          "[sync]") {
+  // Guards against a watch after a revision that the platform no longer has:
+  // nothing was seen until the counter had passed it.
+  Fleet TestFleet(8);
+  TestFleet.Published = 9;
+  REQUIRE(TestFleet.millisecondsUntilAllHave(9) <= 5000);
+  TestFleet.PlatformUp = false;
+  TestFleet.Time.advance(Milliseconds(500));
+  TestFleet.LostRevisions = 6;
+  TestFleet.Published = 7;
+  TestFleet.PlatformUp = true;
+  TestFleet.Time.advance(Milliseconds(10'000));
+  for (unsigned I = 0; I < 8; ++I)
+    CHECK(TestFleet.versionOf(I) == 9);
+  TestFleet.Published = 10;
+  CHECK(TestFleet.millisecondsUntilAllHave(10) <= 5000);
+  for (const unsigned Calls : TestFleet.PlatformCallCounts)
+    CHECK(Calls <= 20);
+}
+
 TEST_CASE("Delayed and false announcements change nothing", "[sync]") {
   // Guards against a version that decreases after a delayed announcement, and
   // against endless pulls of an announced version that no host has.
