Cleaner: keeps the shards of a store that came back from a copy

Seen in a test: given a manifest that the store had lost, the cleaner removed the shards of the copy, since their target version was not higher and the lost manifest did not refer to them. The configuration could not be read any more.

The cleaner reads the manifest after the list, and removes nothing unless the published version descends from the one it was given. One read more for each publish.

--- a/packages/config/src/buckthorndeck/config/OrphanCleaner.cpp
+++ b/packages/config/src/buckthorndeck/config/OrphanCleaner.cpp
@@ -1,5 +1,7 @@
 #include "buckthorndeck/config/OrphanCleaner.h"
 
+#include "buckthorndeck/base/Log.h"
+#include "buckthorndeck/config/PublishedReader.h"
 #include "buckthorndeck/config/StoreClient.h"
 
 #include <set>
@@ -11,6 +13,16 @@
   const auto Keys = co_await Store.list(ShardPrefix, Deadline);
   if (!Keys)
     co_return Unexpected(Keys.error());
+  const auto Current = co_await readManifest(Store, Deadline);
+  if (!Current)
+    co_return Unexpected(Current.error());
+  if (!findAuditEntry(Current->ManifestContent, Content.OperationId)) {
+    log(LogLevel::Warn, "shards_not_removed",
+        {{"version", Content.Version.value()},
+         {"published", Current->ManifestContent.Version.value()},
+         {"reason", "the published version does not descend from it"}});
+    co_return std::size_t(0);
+  }
   std::set<std::string> Referenced;
   for (const ShardReference &Shard : Content.Shards)
     Referenced.insert(Shard.Key);
--- a/packages/config/tests/PublisherTests.cpp
+++ b/packages/config/tests/PublisherTests.cpp
@@ -174,3 +174,32 @@
   CHECK(Test.Store.Entries.contains(shardKey(ConfigVersion(3), "running", 0)));
   CHECK(Test.read().Objects == sampleSet(3));
 }
+
+TEST_CASE("The cleaner keeps the shards of a store that came back from a copy",
+          "[cleaner]") {
+  // Guards against a configuration that can't be read any more: shards of the
+  // copy were removed because a version that the store lost did not refer to
+  // them.
+  Fixture Test;
+  REQUIRE(Test.publish(sampleSet(), 0));
+  const auto Copy = Test.Store.Entries;
+  REQUIRE(Test.publish(sampleSet(3), 1));
+  REQUIRE(Test.publish(sampleSet(4), 2));
+  const Manifest Lost = Test.read().ManifestContent;
+  Test.Store.Entries = Copy;
+  SECTION("at the version of the copy") {}
+  SECTION("at the lost version, published again") {
+    REQUIRE(Test.publish(sampleSet(5), 1));
+    REQUIRE(Test.publish(sampleSet(6), 2));
+  }
+  SECTION("past the lost version") {
+    for (unsigned Version = 1; Version <= 4; ++Version)
+      REQUIRE(Test.publish(sampleSet(4 + Version), Version));
+  }
+  const ObjectSet Published = Test.read().Objects;
+  const auto Removed =
+      runTask(Test.Context, removeOrphans(Test.Client, Lost, testDeadline()));
+  REQUIRE(Removed);
+  CHECK(*Removed == 0);
+  CHECK(Test.read().Objects == Published);
+}
