Publisher: goes past a version that the store has lost

Seen in tests: after the store came back from a copy, a publish gave out a version number again that hosts had in force with other content. They ignored it, and buckthornctl reported success, since their version was high enough.

Hosts report the digest of the configuration in force. The store's manifest is read first, so that another operator's version is not taken for a lost one. Hosts of earlier versions report no digest; only a higher version is noticed there.

--- a/packages/config/src/buckthorndeck/config/Publisher.cpp
+++ b/packages/config/src/buckthorndeck/config/Publisher.cpp
@@ -98,10 +98,17 @@
                                                       : RequestedChanges));
 }
 
+//! The version that a publish creates on top of the published one.
+ConfigVersion nextVersion(const Manifest &Before,
+                          const PublishRequest &Request) {
+  const ConfigVersion Highest =
+      std::max(Before.Version, Request.LostVersion.value_or(ConfigVersion()));
+  return ConfigVersion(Highest.value() + 1);
+}
+
 Manifest makeManifest(const PublishedSet &Before, const PublishRequest &Request,
                       std::vector<ShardReference> Shards) {
-  Manifest Next{.Version =
-                    ConfigVersion(Before.ManifestContent.Version.value() + 1),
+  Manifest Next{.Version = nextVersion(Before.ManifestContent, Request),
                 .OperationId = Request.OperationId,
                 .Author = Request.Author,
                 .TimeMs = Request.TimeMs,
@@ -157,11 +164,11 @@
 //! Writes the shards of Objects that the base manifest does not have. Only
 //! shards of the direct base are reused; removeOrphans() relies on that.
 Task<Expected<std::vector<ShardReference>>>
-writeShards(StoreClient &Store, const Manifest &Base, std::string OperationId,
-            const ObjectSet &Objects, TimePoint Deadline) {
-  const ConfigVersion TargetVersion(Base.Version.value() + 1);
+writeShards(StoreClient &Store, const Manifest &Base,
+            const PublishRequest &Request, TimePoint Deadline) {
+  const ConfigVersion TargetVersion = nextVersion(Base, Request);
   std::vector<ShardReference> Shards;
-  for (std::string &Text : splitIntoShards(Objects)) {
+  for (std::string &Text : splitIntoShards(Request.Objects)) {
     const Digest TextDigest = buckthorndeck::digestOf(std::string_view(Text));
     const auto Existing = std::find_if(Base.Shards.begin(), Base.Shards.end(),
                                        [&](const ShardReference &Shard) {
@@ -171,7 +178,8 @@
       Shards.push_back(*Existing);
       continue;
     }
-    std::string Key = shardKey(TargetVersion, OperationId, Shards.size());
+    std::string Key =
+        shardKey(TargetVersion, Request.OperationId, Shards.size());
     const auto Written =
         co_await writeShard(Store, Key, std::move(Text), Deadline);
     if (!Written)
@@ -299,11 +307,10 @@
     co_return PublishResult{.Version = OwnEntry->Version};
   if (Before->ManifestContent.Version != Request.Base)
     co_return tl::unexpected(conflictBeforeWrite(*Before, Request));
-  if (Before->Objects == Request.Objects)
+  if (Before->Objects == Request.Objects && !Request.LostVersion)
     co_return PublishResult{.Version = Request.Base, .Changed = false};
   auto Shards =
-      co_await writeShards(Store, Before->ManifestContent, Request.OperationId,
-                           Request.Objects, Deadline);
+      co_await writeShards(Store, Before->ManifestContent, Request, Deadline);
   if (!Shards)
     co_return failedBeforeWrite(Shards.error());
   Manifest Next = makeManifest(*Before, Request, std::move(*Shards));
--- a/packages/config/src/buckthorndeck/config/Publisher.h
+++ b/packages/config/src/buckthorndeck/config/Publisher.h
@@ -21,6 +21,9 @@
   std::uint64_t TimeMs = 0; //!< Current time in ms since the Unix epoch.
   ConfigVersion Base;       //!< Version that Objects was derived from.
   ObjectSet Objects;        //!< The whole new set.
+  //! The new version is higher than this one, which entry hosts have in force
+  //! and the store has lost. Objects are then published even if unchanged.
+  std::optional<ConfigVersion> LostVersion;
 };
 
 struct PublishResult {
@@ -57,7 +60,8 @@
 std::string makeOperationId();
 
 /**
- * Publishes a whole set as the version after Request.Base.
+ * Publishes a whole set as the version after Request.Base and
+ * Request.LostVersion.
  *
  * Writes the shards, then replaces the manifest, including its audit entries,
  * with one compare-and-swap. If the answer to it is lost, the operation id in
--- a/packages/config/tests/PublisherTests.cpp
+++ b/packages/config/tests/PublisherTests.cpp
@@ -203,3 +203,28 @@
   CHECK(*Removed == 0);
   CHECK(Test.read().Objects == Published);
 }
+
+TEST_CASE("A publish goes past a version that the store has lost",
+          "[publisher]") {
+  // Guards against a version number that is given out twice: entry hosts keep
+  // what they had under it.
+  Fixture Test;
+  REQUIRE(Test.publish(sampleSet(), 0));
+  const auto Copy = Test.Store.Entries;
+  REQUIRE(Test.publish(sampleSet(3), 1));
+  REQUIRE(Test.publish(sampleSet(4), 2));
+  Test.Store.Entries = Copy;
+  PublishRequest Request = Test.request(sampleSet(), 1);
+  Request.LostVersion = ConfigVersion(3);
+  const auto Outcome = Test.publish(Request);
+  REQUIRE(Outcome);
+  CHECK(Outcome->Version == ConfigVersion(4));
+  CHECK(Outcome->Changed);
+  CHECK(Test.read().Objects == sampleSet());
+  const auto Next = Test.publish(sampleSet(5), 4);
+  REQUIRE(Next);
+  CHECK(Next->Version == ConfigVersion(5));
+  const auto Late = Test.publish(sampleSet(6), 1);
+  REQUIRE_FALSE(Late);
+  CHECK(Late.error().Conflict->Current == ConfigVersion(5));
+}
--- a/packages/entryhost/src/buckthorndeck/entryhost/EntryHost.cpp
+++ b/packages/entryhost/src/buckthorndeck/entryhost/EntryHost.cpp
@@ -326,6 +326,7 @@
 
 StatusReport EntryHost::Impl::status() const {
   return {.Self = Members.self(),
+          .ObjectsDigest = Sync.history().ObjectsDigest,
           .Draining = Context.Leaving,
           .Members = Members.members(),
           .Servers = Servers.status()};
--- a/packages/entryhost/src/buckthorndeck/entryhost/StatusReport.cpp
+++ b/packages/entryhost/src/buckthorndeck/entryhost/StatusReport.cpp
@@ -1,5 +1,7 @@
 #include "buckthorndeck/entryhost/StatusReport.h"
 
+#include "buckthorndeck/config/ObjectJson.h"
+
 namespace buckthorndeck::entryhost {
 
 namespace {
@@ -36,6 +38,7 @@
           {"region", Report.Self.Region.value()},
           {"failure_domain", Report.Self.FailureDomain.value()},
           {"version", Report.Self.Version.value()},
+          {"digest", config::formatDigest(Report.ObjectsDigest)},
           {"draining", Report.Draining},
           {"members", std::move(Members)},
           {"servers", std::move(Servers)}};
--- a/packages/entryhost/src/buckthorndeck/entryhost/StatusReport.h
+++ b/packages/entryhost/src/buckthorndeck/entryhost/StatusReport.h
@@ -12,6 +12,7 @@
 //! Status of an entry host for operators.
 struct StatusReport {
   membership::Member Self;
+  Digest ObjectsDigest; //!< Of the configuration in force.
   bool Draining = false;
   std::vector<membership::Member> Members;
   std::vector<routing::ServerStatus> Servers;
--- a/packages/faults/tests/FaultTests.cpp
+++ b/packages/faults/tests/FaultTests.cpp
@@ -2,12 +2,14 @@
 #include "buckthorndeck/faults/Site.h"
 #include "buckthorndeck/faults/Traffic.h"
 #include "buckthorndeck/net/TcpListener.h"
+#include "buckthorndeck/operator/Commands.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <catch2/catch.hpp>
+#include <sstream>
 
 using namespace buckthorndeck;
 using namespace buckthorndeck::faults;
@@ -164,17 +166,49 @@
   co_await Callers.progress(3);
 }
 
+//! Checks that a server whose drain was declared gets no new work.
+Task<> checkDrained(Site &Target, Traffic &Callers, const std::string &Name) {
+  co_await sleepFor(DrainLimit);
+  const std::size_t RunsThen = Target.server(Name).runs().size();
+  co_await Callers.progress(5);
+  CHECK(Target.server(Name).runs().size() == RunsThen);
+  CHECK(Target.server(Name).subscriptions() == 0);
+}
+
 //! Declares a drain, which the server itself knows nothing of.
 Task<> declareDrain(Site &Target, Traffic &Callers) {
   const ObjectName Name("exchange/trading-floor-0");
   co_await Target.publish([&](config::ObjectSet &Objects) {
     Objects.BackendServers.at(Name).Draining = true;
   });
-  co_await sleepFor(DrainLimit);
-  const std::size_t RunsThen = Target.server(Name.value()).runs().size();
-  co_await Callers.progress(5);
-  CHECK(Target.server(Name.value()).runs().size() == RunsThen);
-  CHECK(Target.server(Name.value()).subscriptions() == 0);
+  co_await checkDrained(Target, Callers, Name.value());
+}
+
+//! The store comes back from a copy that lacks two versions. Then an operator
+//! drains a server.
+Task<> restoreStore(Site &Target, Traffic &Callers) {
+  Target.platform().keepCopy();
+  for (const char *Spare : {"spare-1", "spare-2"})
+    co_await Target.publish([&](config::ObjectSet &Objects) {
+      const ObjectName Name(std::string("exchange/stop-") + Spare);
+      Objects.EntryHostDrains[Name] = {.Name = Name,
+                                       .Host = EntryHostName(Spare)};
+    });
+  Target.platform().restoreCopy();
+  co_await Callers.progress(1);
+  const std::string Server = "exchange/trading-floor-0";
+  const auto CommandLine = operators::parseCommandLine(
+      {"drain", "server", Server, "--author=faults",
+       "--store=" + toString(Target.platform().endpoint()),
+       "--host=" + toString(Target.host("entry-0").Addresses.Sync)});
+  REQUIRE(CommandLine);
+  std::ostringstream Out;
+  std::ostringstream Err;
+  const operators::Streams Output{.Out = Out, .Err = Err};
+  const auto Code = co_await operators::runCommand(*CommandLine, Output);
+  INFO(Err.str());
+  CHECK(Code == operators::ExitCode::Success);
+  co_await checkDrained(Target, Callers, Server);
 }
 
 //! Drains an entry host by declaration; it stops by itself.
@@ -275,6 +309,7 @@
       {"entry host drained by declaration", 20, declareHostDrain,
        /*Planned=*/true},
       {"server address reused by another service", 17, reuseAddress},
+      {"store restored from a copy", 21, restoreStore, /*Planned=*/true},
       {"entry host joins during an outage", 18, joinDuringOutage,
        /*Planned=*/true},
       {"several at once", 19, severalAtOnce},
--- a/packages/operator/src/buckthorndeck/operator/Commands.cpp
+++ b/packages/operator/src/buckthorndeck/operator/Commands.cpp
@@ -25,6 +25,9 @@
 //! Attempts to publish a drain. After this many conflicts in a row with other
 //! operators the command fails.
 constexpr unsigned MaxDrainAttempts = 10;
+//! Attempts to publish above the versions that the store has lost. Hosts that
+//! answer late can have a still higher one.
+constexpr unsigned MaxLostVersions = 3;
 
 //! Command line, output streams and store client of one command.
 struct CommandContext {
@@ -223,20 +226,86 @@
   }
 }
 
+//! The highest version that entry hosts have in force although the store does
+//! not have it: the store came back from a copy. Hosts never go back, so they
+//! ignore what is published up to that version.
+Task<std::optional<ConfigVersion>> findLostVersion(CommandContext &Context,
+                                                   const SurveyResult &Survey,
+                                                   ConfigVersion Published,
+                                                   Digest ObjectsDigest) {
+  const auto Highest = Survey.highestOther(Published, ObjectsDigest);
+  if (!Highest)
+    co_return std::nullopt;
+  // Another operator may have published it meanwhile.
+  const auto Current =
+      co_await config::readManifest(*Context.Store, Context.storeDeadline());
+  if (!Current) {
+    Context.Output.Err << "buckthornctl: " << describe(Current.error()) << "\n";
+    co_return std::nullopt;
+  }
+  if (Current->ManifestContent.Version > Published)
+    co_return std::nullopt;
+  co_return Highest;
+}
+
+//! A published version and the hosts that have it in force.
+struct Rollout {
+  config::PublishResult Published;
+  std::string OperationId;
+  SurveyResult Survey;
+  //! False if hosts keep a version that the store has lost.
+  bool Accepted = true;
+};
+
+//! Waits for the entry hosts to have the version in force. Publishes again,
+//! with a higher version, as long as hosts have one that the store has lost.
+Task<Rollout> rollOut(CommandContext &Context, config::PublishResult Published,
+                      config::PublishRequest Request) {
+  Rollout Result{.Published = Published, .OperationId = Request.OperationId};
+  if (Context.CommandLine.Wait <= Milliseconds(0))
+    co_return Result;
+  const Digest ObjectsDigest = config::digestOf(Request.Objects);
+  for (unsigned Attempt = 0;; ++Attempt) {
+    const ConfigVersion Version = Result.Published.Version;
+    Result.Survey = co_await awaitRollout(Context, Version);
+    const auto Lost = co_await findLostVersion(Context, Result.Survey, Version,
+                                               ObjectsDigest);
+    Result.Accepted = !Lost;
+    if (!Lost || Attempt == MaxLostVersions)
+      co_return Result;
+    Context.Output.Err << "version " << Lost->value()
+                       << " is in force, but the store has lost it; publishing "
+                          "again with a higher version\n";
+    Request.OperationId = config::makeOperationId();
+    Request.Base = Version;
+    Request.LostVersion = Lost;
+    const PublishOutcome Outcome = co_await config::publish(
+        *Context.Store, Request, Context.storeDeadline());
+    if (!Outcome) {
+      Context.Output.Err << "buckthornctl: " << describe(Outcome.error().Reason)
+                         << "\n";
+      co_return Result;
+    }
+    Result.Published = *Outcome;
+    Result.OperationId = Request.OperationId;
+  }
+}
+
 //! Waits for the entry hosts to have the version in force and reports the
 //! result.
 Task<ExitCode> finishPublish(CommandContext &Context,
                              config::PublishResult Published,
-                             std::string OperationId) {
-  SurveyResult Survey;
-  if (Context.CommandLine.Wait > Milliseconds(0))
-    Survey = co_await awaitRollout(Context, Published.Version);
-  printRollout(Context.Output.Err, Survey, Published.Version);
-  printPublished(Context, Published, OperationId, Survey);
-  if (Published.Changed)
+                             config::PublishRequest Request) {
+  const Rollout Result =
+      co_await rollOut(Context, Published, std::move(Request));
+  const SurveyResult &Survey = Result.Survey;
+  const ConfigVersion Version = Result.Published.Version;
+  printRollout(Context.Output.Err, Survey, Version);
+  printPublished(Context, Result.Published, Result.OperationId, Survey);
+  if (Result.Published.Changed)
     co_await removeUnusedShards(Context);
-  const bool InForce =
-      Survey.countWithVersion(Published.Version) == Survey.Answered.size();
+  const bool InForce = Result.Accepted && Survey.countWithVersion(Version) ==
+                                              Survey.Answered.size();
   co_return InForce ? ExitCode::Success : ExitCode::NotInForce;
 }
 
@@ -275,7 +344,7 @@
       *Context.Store, Request, Context.storeDeadline());
   if (!Outcome)
     co_return reportFailure(Context, Outcome.error());
-  co_return co_await finishPublish(Context, *Outcome, Request.OperationId);
+  co_return co_await finishPublish(Context, *Outcome, Request);
 }
 
 Task<ExitCode> show(CommandContext &Context) {
@@ -378,7 +447,7 @@
     const PublishOutcome Outcome = co_await config::publish(
         *Context.Store, Request, Context.storeDeadline());
     if (Outcome)
-      co_return co_await finishPublish(Context, *Outcome, Request.OperationId);
+      co_return co_await finishPublish(Context, *Outcome, Request);
     if (Attempt == MaxDrainAttempts || !canRepublish(Outcome))
       co_return reportFailure(Context, Outcome.error());
   }
--- a/packages/operator/src/buckthorndeck/operator/HostStatus.cpp
+++ b/packages/operator/src/buckthorndeck/operator/HostStatus.cpp
@@ -2,6 +2,7 @@
 
 #include "buckthorndeck/base/FieldReader.h"
 #include "buckthorndeck/config/Limits.h"
+#include "buckthorndeck/config/ObjectJson.h"
 #include "buckthorndeck/net/WebSocket.h"
 
 #include <boost/asio/this_coro.hpp>
@@ -12,6 +13,7 @@
 
 const char *const Step = "read status";
 constexpr std::size_t MaxStateLength = 32;
+constexpr std::size_t MaxDigestLength = 64;
 constexpr std::uint64_t MaxServiceTimeMs = 86'400'000;
 
 MemberStatus readMember(FieldReader &Fields) {
@@ -72,6 +74,14 @@
   Result.FailureDomain =
       FailureDomainName(Fields.text("failure_domain", config::MaxNameLength));
   Result.Version = ConfigVersion(Fields.number("version"));
+  if (Message.is_object() && Message.contains("digest")) {
+    const auto Parsed =
+        config::parseDigest(Fields.text("digest", MaxDigestLength));
+    if (Parsed)
+      Result.ObjectsDigest = *Parsed;
+    else
+      Fields.fail("digest", "the digest of a configuration");
+  }
   Result.Draining = Fields.flag("draining");
   readList(Fields, "members", Peer, readMember, Result.Members);
   readList(Fields, "servers", Peer, readServer, Result.Servers);
--- a/packages/operator/src/buckthorndeck/operator/HostStatus.h
+++ b/packages/operator/src/buckthorndeck/operator/HostStatus.h
@@ -6,6 +6,7 @@
 #include "buckthorndeck/net/Endpoint.h"
 #include "buckthorndeck/net/Task.h"
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -37,6 +38,8 @@
   RegionName Region;
   FailureDomainName FailureDomain;
   ConfigVersion Version;
+  //! Of the configuration in force; earlier versions do not report it.
+  std::optional<Digest> ObjectsDigest;
   bool Draining = false;
   std::vector<MemberStatus> Members;
   std::vector<ServerStatus> Servers;
--- a/packages/operator/src/buckthorndeck/operator/HostSurvey.cpp
+++ b/packages/operator/src/buckthorndeck/operator/HostSurvey.cpp
@@ -101,6 +101,18 @@
       }));
 }
 
+std::optional<ConfigVersion>
+SurveyResult::highestOther(ConfigVersion Version, Digest ObjectsDigest) const {
+  std::optional<ConfigVersion> Highest;
+  for (const auto &[Address, Host] : Answered) {
+    const bool Differs = Host.Version == Version && Host.ObjectsDigest &&
+                         *Host.ObjectsDigest != ObjectsDigest;
+    if (Host.Version > Version || Differs)
+      Highest = std::max(Highest.value_or(Version), Host.Version);
+  }
+  return Highest;
+}
+
 Task<SurveyResult>
 surveyHosts(SurveyOptions Options,
             std::function<void(const SurveyResult &)> Progress) {
--- a/packages/operator/src/buckthorndeck/operator/HostSurvey.h
+++ b/packages/operator/src/buckthorndeck/operator/HostSurvey.h
@@ -5,6 +5,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -32,6 +33,11 @@
 
   //! Number of hosts that have Version or a later one in force.
   std::size_t countWithVersion(ConfigVersion Version) const;
+
+  //! Highest version in force that is above Version, or Version itself if a
+  //! host has another configuration under it; none if there is none.
+  std::optional<ConfigVersion> highestOther(ConfigVersion Version,
+                                            Digest ObjectsDigest) const;
 };
 
 /**
--- a/packages/operator/tests/CommandsTests.cpp
+++ b/packages/operator/tests/CommandsTests.cpp
@@ -36,25 +36,35 @@
 
   std::string Name = "entry-1";
   std::optional<std::uint64_t> FixedVersion;
+  //! Kept until a higher version is published; reported with LostDigest.
+  std::uint64_t LostVersion = 0;
+  std::optional<Digest> LostDigest;
   //! Number of queries that are answered with the previous version.
   unsigned Lag = 0;
   Json Members = Json::array();
 
 private:
   std::uint64_t version() {
-    const std::uint64_t Published = Store.Manifests.size();
+    const std::uint64_t Published =
+        Store.Manifests.empty()
+            ? 0
+            : config::parseManifest(Store.Manifests.back(), "test")
+                  ->Version.value();
     if (Lag > 0 && Lag-- > 0)
       return Published - 1;
-    return FixedVersion.value_or(Published);
+    return FixedVersion.value_or(std::max(Published, LostVersion));
   }
 
   Task<> answer(WebSocket::Pointer Link) {
     while (co_await Link->receive()) {
-      const Json Status = {
+      const std::uint64_t Version = version();
+      Json Status = {
           {"type", "status"},        {"host", Name},
           {"region", "doo-central"}, {"failure_domain", "sapporo-kita"},
-          {"version", version()},    {"draining", false},
+          {"version", Version},      {"draining", false},
           {"members", Members},      {"servers", Json::array()}};
+      if (LostDigest && Version == LostVersion)
+        Status["digest"] = config::formatDigest(*LostDigest);
       Link->send(Status);
     }
   }
@@ -226,6 +236,43 @@
                                  Catch::Contains("still has version 0"));
 }
 
+TEST_CASE("publish goes past a version that hosts have and the store has lost",
+          "[commands]") {
+  // Guards against a publish that reports success although every host ignores
+  // the version, after the store came back from a copy.
+  Fixture Test;
+  FakeHost Host(Test.Context, Test.Store);
+  Test.listHost(Host);
+  REQUIRE(Test.run({"publish", Test.sample(2)}) == ExitCode::Success);
+  SECTION("a higher one") { Host.LostVersion = 9; }
+  SECTION("one of the same number") {
+    Host.LostVersion = 2;
+    Host.LostDigest = config::digestOf(config::ObjectSet());
+  }
+  SECTION("nothing else has changed") {
+    Host.LostVersion = 5;
+    CHECK(Test.run({"publish", "--base=1", "--json", Test.sample(2)}) ==
+          ExitCode::Success);
+    CHECK(Json::parse(Test.Out.str())["version"] == 6);
+    return;
+  }
+  CHECK(Test.run({"publish", "--base=1", "--json", Test.sample(3)}) ==
+        ExitCode::Success);
+  CHECK(Json::parse(Test.Out.str())["version"] == Host.LostVersion + 1);
+  CHECK_THAT(Test.Err.str(), Catch::Contains("the store has lost it"));
+  CHECK(Test.published().BackendServers.size() == 3);
+}
+
+TEST_CASE("publish fails when hosts keep a version that the store has lost",
+          "[commands]") {
+  // Guards against a success that is reported after the last attempt.
+  Fixture Test;
+  FakeHost Host(Test.Context, Test.Store);
+  Test.listHost(Host);
+  Host.FixedVersion = 1000;
+  CHECK(Test.run({"publish", Test.sample(2)}) == ExitCode::NotInForce);
+}
+
 TEST_CASE("publish requires the base version except for the first version",
           "[commands]") {
   Fixture Test;
--- a/packages/standins/src/buckthorndeck/standins/Platform.cpp
+++ b/packages/standins/src/buckthorndeck/standins/Platform.cpp
@@ -106,6 +106,9 @@
   PlatformFaults Faults;
   std::map<std::string, Entry> Entries;
   std::uint64_t Revision = 0;
+  std::map<std::string, Entry> CopiedEntries;
+  std::uint64_t CopiedRevision = 0;
+  std::uint32_t Restorations = 0;
   std::map<std::string, std::shared_ptr<Lease>> Leases;
   std::uint64_t NextLease = 1;
   std::set<std::shared_ptr<Watch>> Watches;
@@ -137,6 +140,21 @@
     return Revision;
   }
 
+  void restoreCopy() {
+    Entries = CopiedEntries;
+    Revision = CopiedRevision;
+    std::erase_if(Entries,
+                  [](const auto &Item) { return !Item.second.Lease.empty(); });
+    for (const auto &[Id, Held] : Leases) {
+      Held->Ended = true;
+      Held->Changed.notifyAll();
+    }
+    Leases.clear();
+    ++Restorations;
+    for (const auto &Waiting : Watches)
+      Waiting->Wake.notifyAll();
+  }
+
   void wakeWatches(const std::string &Key) {
     std::vector<std::shared_ptr<Watch>> Waiting;
     for (const auto &Entry : Watches)
@@ -241,10 +259,12 @@
     if (!After || !WaitMs || *WaitMs > MaxWaitMs)
       co_return refuse(StatusBadRequest, "after or wait_ms is out of range");
     const TimePoint Deadline = Clock::now() + Milliseconds(*WaitMs);
+    const std::uint32_t Restorations = Self->Restorations;
     auto Entry = std::make_shared<Watch>(Self->Where, Received.Name, *After);
     while (true) {
-      // Outages and a stop end the call without an answer.
-      if (Self->Stopped || Self->Faults.Outage)
+      // Outages, restorations and a stop end the call without an answer.
+      if (Self->Stopped || Self->Faults.Outage ||
+          Self->Restorations != Restorations)
         co_return std::nullopt;
       const auto Found = Self->Entries.find(Received.Name);
       if (Found != Self->Entries.end() &&
@@ -534,6 +554,13 @@
   return Shared->change(Key, Value, "");
 }
 
+void Platform::keepCopy() {
+  Shared->CopiedEntries = Shared->Entries;
+  Shared->CopiedRevision = Shared->Revision;
+}
+
+void Platform::restoreCopy() { Shared->restoreCopy(); }
+
 bool Platform::expireLease(const std::string &Id) {
   return Shared->dropLease(Id);
 }
--- a/packages/standins/src/buckthorndeck/standins/Platform.h
+++ b/packages/standins/src/buckthorndeck/standins/Platform.h
@@ -68,6 +68,11 @@
   std::optional<std::string> value(const std::string &Key) const;
   //! Writes without limits or faults. Returns the revision.
   std::uint64_t put(const std::string &Key, const std::string &Value);
+  //! Keeps a copy of the keys and of the revision counter.
+  void keepCopy();
+  //! Comes back from the copy: later writes are lost, their revisions are given
+  //! out again, leases end with their keys, and waiting watches get no answer.
+  void restoreCopy();
   //! Ends a lease as if its time had run out. Returns false if there is none.
   bool expireLease(const std::string &Id);
   //! Leases that have not ended.
