--- a/packages/forwarding/src/buckthorndeck/forwarding/Forwarder.cpp
+++ b/packages/forwarding/src/buckthorndeck/forwarding/Forwarder.cpp
@@ -699,6 +699,11 @@
          {"server_revision", Position.Revision.value()}});
 }
 
+void Forwarder::mergeRemoval(RegistryEntry Removed, TimePoint Now) {
+  if (Server *Target = Servers.mergeRemoval(std::move(Removed), Now))
+    recordRemoval(*Target, "peer_saw_removal", Now);
+}
+
 void Forwarder::retainServers(std::vector<std::string> Present,
                               StorePosition Position, TimePoint Now) {
   for (Server *Target : Servers.retain(std::move(Present), Position, Now))
--- a/packages/forwarding/src/buckthorndeck/forwarding/Forwarder.h
+++ b/packages/forwarding/src/buckthorndeck/forwarding/Forwarder.h
@@ -125,6 +125,8 @@
                     EntryOrigin Origin = EntryOrigin::Write);
   void removeServer(const std::string &Name, StorePosition Position,
                     TimePoint Now);
+  //! Takes over that a peer saw an entry removed, see ServerDirectory.
+  void mergeRemoval(RegistryEntry Removed, TimePoint Now);
   //! Removes the servers that are not in Present, the names that a complete
   //! read of the registry found.
   void retainServers(std::vector<std::string> Present, StorePosition Position,
--- a/packages/forwarding/src/buckthorndeck/forwarding/KnownRegistry.cpp
+++ b/packages/forwarding/src/buckthorndeck/forwarding/KnownRegistry.cpp
@@ -49,6 +49,9 @@
 }
 
 void KnownRegistry::mergeSnapshot(RegistryChanges &Snapshot) {
+  // First, since entries that the peer withholds are ordered after them.
+  for (RegistryEntry &Removed : Snapshot.Removed)
+    Target.mergeRemoval(std::move(Removed), Clock::now());
   apply(Snapshot, EntryOrigin::Complete);
   // Within an era, the view would miss the removals up to the snapshot. The
   // snapshot does not say how old it is, so that VerifiedAt stays.
--- a/packages/forwarding/src/buckthorndeck/forwarding/Registry.h
+++ b/packages/forwarding/src/buckthorndeck/forwarding/Registry.h
@@ -23,6 +23,8 @@
 //! Servers and configuration read from the platform's store or a snapshot.
 struct RegistryChanges {
   std::vector<ServerChange> Servers;
+  //! Entries that a peer saw removed, as they were before. Only in snapshots.
+  std::vector<RegistryEntry> Removed;
   std::optional<RouteSet> Routes;
   //! Position of the whole store; later changes are missing.
   StorePosition AsOf;
--- a/packages/forwarding/src/buckthorndeck/forwarding/ServerDirectory.cpp
+++ b/packages/forwarding/src/buckthorndeck/forwarding/ServerDirectory.cpp
@@ -143,6 +143,34 @@
   return &Known;
 }
 
+Server *ServerDirectory::mergeRemoval(RegistryEntry Removed, TimePoint Now) {
+  const auto SameName = ByName.find(Removed.Record.Name);
+  if (SameName == ByName.end()) {
+    const SocketAddress Address = toSocketAddress(Removed.Record.Address);
+    const std::string Name = Removed.Record.Name;
+    const auto AtAddress = ByAddress.find(Address);
+    Server *Holder = AtAddress == ByAddress.end() ? nullptr : AtAddress->second;
+    if (update(std::move(Removed.Record), Removed.Position, Now,
+               EntryOrigin::Complete) != Change::Added)
+      return nullptr;
+    markUnregistered(*ByName.at(Name), Removed.Position, Now);
+    if (Holder && Holder->Registered)
+      ByAddress[Address] = Holder;
+    return nullptr;
+  }
+  Server &Known = *SameName->second;
+  const StorePosition Position = Known.Position;
+  const bool Newer = Position.Era == Removed.Position.Era
+                         ? Position > Removed.Position
+                         : reportOf(Known.Record) > reportOf(Removed.Record);
+  if (!Known.Registered || Newer)
+    return nullptr;
+  if (Position > Removed.Position)
+    withhold(Known.Record, Position);
+  markUnregistered(Known, Removed.Position, Now);
+  return &Known;
+}
+
 std::vector<Server *> ServerDirectory::retain(std::vector<std::string> Present,
                                               StorePosition Position,
                                               TimePoint Now) {
--- a/packages/forwarding/src/buckthorndeck/forwarding/ServerDirectory.h
+++ b/packages/forwarding/src/buckthorndeck/forwarding/ServerDirectory.h
@@ -118,6 +118,10 @@
   //! was registered or a later position is known.
   Server *remove(const std::string &Name, StorePosition Position,
                  TimePoint Now);
+  //! Takes over that a peer saw the entry Removed go; its position is that of
+  //! the removal. A later copy of the entry is then ordered after it. Returns
+  //! the server if it was registered until now.
+  Server *mergeRemoval(RegistryEntry Removed, TimePoint Now);
   //! Marks every server that is not in Present, the names of a complete read as
   //! of Position, as unregistered, unless its entry is newer than the read or
   //! of an earlier era. Returns these servers.
--- a/packages/forwarding/src/buckthorndeck/forwarding/Snapshot.cpp
+++ b/packages/forwarding/src/buckthorndeck/forwarding/Snapshot.cpp
@@ -9,15 +9,22 @@
 namespace {
 
 constexpr const char *Step = "read snapshot";
+//! For how long a snapshot lists a removed entry. A copy of the store that
+//! still has it is some seconds old.
+constexpr Milliseconds RemovedEntryLifetime{60'000};
 
 } // namespace
 
 Bytes encodeSnapshot(ServerDirectory &Servers, const RouteTable &Routes,
                      StorePosition AsOf, TimePoint Now) {
   Json ServerList = Json::array();
+  Json Removed = Json::array();
   Servers.forEach([&](const Server &Backend) {
     if (Backend.Registered)
       ServerList.push_back(encodeServer(Backend, Now));
+    else if (Servers.isLatest(Backend) &&
+             Now - Backend.RemovedAt <= RemovedEntryLifetime)
+      Removed.push_back(encodeServer(Backend, Now));
   });
   Json Withheld = Json::array();
   Servers.forEachWithheld([&](const RegistryEntry &Entry) {
@@ -27,6 +34,7 @@
   Snapshot["as_of"] = AsOf.Revision.value();
   Snapshot["era"] = AsOf.Era.value();
   Snapshot["withheld"] = std::move(Withheld);
+  Snapshot["removed"] = std::move(Removed);
   Snapshot["servers"] = std::move(ServerList);
   return encodeCbor(Snapshot);
 }
@@ -57,6 +65,18 @@
       return Unexpected(Fields.error());
     decodeServers(*Withheld, Step, Source, Era, Changes.Servers);
   }
+  // Nor do they list what was removed.
+  if (Document->contains("removed")) {
+    const Json *Removed = Fields.array("removed", MaxServers);
+    if (Fields.failed())
+      return Unexpected(Fields.error());
+    std::vector<ServerChange> Decoded;
+    decodeServers(*Removed, Step, Source, Era, Decoded);
+    for (ServerChange &Change : Decoded)
+      if (Change.Record)
+        Changes.Removed.push_back(
+            {.Record = std::move(*Change.Record), .Position = Change.Position});
+  }
   auto Routes = decodeRoutes(*Document, Step, Source);
   if (!Routes)
     return Unexpected(Routes.error());
--- a/packages/forwarding/src/buckthorndeck/forwarding/Snapshot.h
+++ b/packages/forwarding/src/buckthorndeck/forwarding/Snapshot.h
@@ -6,8 +6,9 @@
 
 namespace buckthorndeck::forwarding {
 
-//! Encodes the registered servers and the routes in force as of AsOf in CBOR,
-//! for a host that cannot read the store.
+//! Encodes the registered servers, those that were removed a short time ago,
+//! and the routes in force as of AsOf in CBOR, for a host that cannot read the
+//! store or reads a copy of it.
 Bytes encodeSnapshot(ServerDirectory &Servers, const RouteTable &Routes,
                      StorePosition AsOf, TimePoint Now);
 
--- a/packages/forwarding/tests/RestoredRelayTests.cpp
+++ b/packages/forwarding/tests/RestoredRelayTests.cpp
@@ -197,6 +197,48 @@
   CHECK(Known->Record.Draining);
 }
 
+TEST_CASE("A host that starts does not use a server that its peers saw leave",
+          "[restored_store]") {
+  // Guards against flows to the address of a server that is gone, or that
+  // another service's server has now (ROUTE).
+  RelayedFixture Site;
+  Site.Relay.start(Site.Context.get_executor());
+  runTask(Site.Context, Site.Relay.Reader.waitLoaded());
+  const auto Copy = Site.Store.content();
+  Site.Store.withdraw(makeServer(1).Name);
+  ServerRecord Successor = makeServer(7);
+  Successor.Service = Press;
+  Successor.Address = makeServer(1).Address;
+  Site.Store.announce(Successor);
+  Site.Store.publish(makeRoutes(5));
+  Site.waitFor(
+      [&] { return Site.Relay.Host.routes().version() == ConfigVersion(5); });
+  Site.Store.restore(Copy);
+  Site.Follower.Peers.update(
+      {.Sender = Site.Relay.Self, .Knowledge = Site.Relay.Reader.knowledge()},
+      Clock::now());
+  SECTION("and reads the store first") {
+    Site.Follower.start(Site.Context.get_executor());
+    runTask(Site.Context, Site.Follower.Reader.waitLoaded());
+  }
+  SECTION("and takes its first view from a peer") {
+    Site.Follower.Link.TurnedAway = true;
+    Site.Follower.start(Site.Context.get_executor());
+    runTask(Site.Context, Site.Follower.Reader.waitLoaded());
+    Site.Follower.Link.TurnedAway = false;
+  }
+  Site.waitFor(
+      [&] { return Site.Follower.Reader.knowledge().Era == StoreEra(2); });
+  ServerDirectory &Known = Site.Follower.Host.servers();
+  const Server *Gone = Known.find(tokenOf(makeServer(1)));
+  REQUIRE(Gone);
+  CHECK_FALSE(Gone->Registered);
+  CHECK(Known.isReplaced(*Gone));
+  const Server *Present = Known.find(tokenOf(Successor));
+  REQUIRE(Present);
+  CHECK(Present->Registered);
+}
+
 TEST_CASE("A host that starts asks no peer if none announces more",
           "[restored_store]") {
   // Guards against a snapshot a start, which is megabytes on a large fleet.
--- a/packages/forwarding/tests/ServerDirectoryTests.cpp
+++ b/packages/forwarding/tests/ServerDirectoryTests.cpp
@@ -84,6 +84,41 @@
   CHECK(Servers.isReplaced(Removed));
 }
 
+TEST_CASE(
+    "A removal that a peer saw counts unless the server has written since",
+    "[servers]") {
+  // Guards against a peer's memory that takes a living server out of use.
+  ServerDirectory Directory;
+  const auto Removal = [](std::uint64_t Sequence, StorePosition Position) {
+    RegistryEntry Removed{.Record = makeServer(0), .Position = Position};
+    Removed.Record.Sequence = Sequence;
+    return Removed;
+  };
+  ServerRecord Record = makeServer(0);
+  Record.Sequence = 3;
+  Directory.update(Record, at(10, 2), Start);
+  const Server &Known = *Directory.find(tokenOf(Record));
+  SECTION("written again in a later era") {
+    CHECK_FALSE(Directory.mergeRemoval(Removal(2, at(90, 1)), Start));
+    CHECK(Known.Registered);
+  }
+  SECTION("written again in the same era") {
+    CHECK_FALSE(Directory.mergeRemoval(Removal(9, at(9, 2)), Start));
+    CHECK(Known.Registered);
+  }
+  SECTION("removed later in the same era") {
+    CHECK(Directory.mergeRemoval(Removal(3, at(11, 2)), Start));
+    CHECK_FALSE(Known.Registered);
+    CHECK_FALSE(Directory.hasUnconfirmed(StoreEra(2)));
+  }
+  SECTION("read from a copy") {
+    CHECK(Directory.mergeRemoval(Removal(3, at(90, 1)), Start));
+    CHECK_FALSE(Known.Registered);
+    REQUIRE(Directory.hasUnconfirmed(StoreEra(2)));
+    CHECK(Directory.takeWithheld(StoreEra(2)).size() == 1);
+  }
+}
+
 TEST_CASE("A read that is older than a server's entry does not remove it",
           "[directory]") {
   // Guards against living servers that are taken as gone, and suspected, after
--- a/packages/forwarding/tests/SnapshotTests.cpp
+++ b/packages/forwarding/tests/SnapshotTests.cpp
@@ -28,12 +28,27 @@
   CHECK(tokenOf(Record) == tokenOf(makeServer(0)));
   CHECK(Record.Address == makeServer(0).Address);
   CHECK(Decoded->Servers[0].Position == at(10));
+  REQUIRE(Decoded->Removed.size() == 1);
+  CHECK(Decoded->Removed[0].Record.Name == makeServer(1).Name);
+  CHECK(Decoded->Removed[0].Position == at(20));
   REQUIRE(Decoded->Routes);
   CHECK(Decoded->Routes->Version == ConfigVersion(1));
   CHECK(Decoded->Routes->Routes.size() == 2);
   CHECK(Decoded->Routes->HealthRules.size() == 1);
 }
 
+TEST_CASE("A snapshot leaves out what was removed long ago", "[snapshot]") {
+  // Guards against snapshots that grow with every server that has ever left.
+  ForwarderFixture Site(2);
+  Site.Host.removeServer(makeServer(1).Name, at(20), Start);
+  const auto Decoded =
+      decodeSnapshot(encodeSnapshot(Site.Host.servers(), Site.Host.routes(),
+                                    at(21), Start + std::chrono::minutes(2)),
+                     "test");
+  REQUIRE(Decoded);
+  CHECK(Decoded->Removed.empty());
+}
+
 TEST_CASE("Truncated snapshots are rejected and corrupt ones do not crash",
           "[snapshot]") {
   const Bytes Valid = sampleSnapshot();
