--- a/packages/faults/tests/FaultTests.cpp
+++ b/packages/faults/tests/FaultTests.cpp
@@ -24,6 +24,8 @@
 constexpr unsigned After = 10;
 //! Between two attempts to hold a port.
 constexpr Milliseconds PollInterval{20};
+//! The fastest server of its service gets most of the work.
+constexpr const char *BusiestServer = "exchange/trading-floor-2";
 //! Time after which a draining server must get no new work.
 constexpr Milliseconds DrainLimit{3'000};
 
@@ -166,6 +168,13 @@
   co_await Callers.progress(3);
 }
 
+//! Checks that a server gets work, so that checkDrained() can fail.
+Task<> checkInUse(Site &Target, Traffic &Callers, const std::string &Name) {
+  const std::size_t RunsThen = Target.server(Name).runs().size();
+  co_await Callers.progress(5);
+  CHECK(Target.server(Name).runs().size() > RunsThen);
+}
+
 //! Checks that a server whose drain was declared gets no new work.
 Task<> checkDrained(Site &Target, Traffic &Callers, const std::string &Name) {
   co_await sleepFor(DrainLimit);
@@ -177,7 +186,8 @@
 
 //! Declares a drain, which the server itself knows nothing of.
 Task<> declareDrain(Site &Target, Traffic &Callers) {
-  const ObjectName Name("exchange/trading-floor-0");
+  const ObjectName Name(BusiestServer);
+  co_await checkInUse(Target, Callers, Name.value());
   co_await Target.publish([&](config::ObjectSet &Objects) {
     Objects.BackendServers.at(Name).Draining = true;
   });
@@ -195,8 +205,8 @@
                                        .Host = EntryHostName(Spare)};
     });
   Target.platform().restoreCopy();
-  co_await Callers.progress(1);
-  const std::string Server = "exchange/trading-floor-0";
+  const std::string Server = BusiestServer;
+  co_await checkInUse(Target, Callers, Server);
   const auto CommandLine = operators::parseCommandLine(
       {"drain", "server", Server, "--author=faults",
        "--store=" + toString(Target.platform().endpoint()),
