Registry order: the rule for removals that a peer saw stands with the others

It was written out in ServerDirectory::mergeRemoval; the rule of RegistryOrder is meant to be in one place. No change of behaviour. The cleaner's comment and log line say what it checks: the publish must be in the published history.

--- a/packages/config/src/buckthorndeck/config/OrphanCleaner.cpp
+++ b/packages/config/src/buckthorndeck/config/OrphanCleaner.cpp
@@ -20,7 +20,7 @@
     log(LogLevel::Warn, "shards_not_removed",
         {{"version", Content.Version.value()},
          {"published", Current->ManifestContent.Version.value()},
-         {"reason", "the published version does not descend from it"}});
+         {"reason", "its publish is not in the published history"}});
     co_return std::size_t(0);
   }
   std::set<std::string> Referenced;
--- a/packages/config/src/buckthorndeck/config/OrphanCleaner.h
+++ b/packages/config/src/buckthorndeck/config/OrphanCleaner.h
@@ -16,9 +16,9 @@
  * Removes a shard only if its target version is at most the version of Content
  * and Content does not refer to it. No newer manifest refers to such a shard: a
  * publisher reuses only shards of its direct base and writes all others for a
- * higher target version. Content may therefore be arbitrarily old. Removes
- * nothing if the store's manifest does not descend from Content: the store may
- * be back from a copy that refers to other shards.
+ * higher target version. Content may therefore be old. Removes nothing unless
+ * the audit entries of the store's manifest include Content: otherwise the
+ * store may be back from a copy that refers to other shards.
  */
 Task<Expected<std::size_t>> removeOrphans(StoreClient &Store, Manifest Content,
                                           TimePoint Deadline);
--- a/packages/forwarding/src/buckthorndeck/forwarding/RegistryOrder.cpp
+++ b/packages/forwarding/src/buckthorndeck/forwarding/RegistryOrder.cpp
@@ -21,4 +21,15 @@
              : EntryDecision::Withhold;
 }
 
+EntryDecision decideRemoval(const EntryState &Known,
+                            const EntryState &Removed) {
+  if (Known.Position.Era == Removed.Position.Era)
+    return Removed.Position < Known.Position ? EntryDecision::Ignore
+                                             : EntryDecision::Apply;
+  if (Known.Report > Removed.Report)
+    return EntryDecision::Ignore;
+  return Removed.Position < Known.Position ? EntryDecision::Withhold
+                                           : EntryDecision::Apply;
+}
+
 } // namespace buckthorndeck::forwarding
--- a/packages/forwarding/src/buckthorndeck/forwarding/RegistryOrder.h
+++ b/packages/forwarding/src/buckthorndeck/forwarding/RegistryOrder.h
@@ -26,6 +26,8 @@
  *   ranks it as newer (ServerReport). An older entry is withheld, and an entry
  *   that is missing stays in use, until the writers have had the time to write
  *   again (confirmation time). What the store then still says counts.
+ * - **A removal** that a peer saw counts, in another era, unless the server has
+ *   reported since. An entry of a later era is then withheld like an older one.
  * - **A change** that the store reports after a position of its present era was
  *   written in that era, and counts at once.
  *
@@ -92,6 +94,11 @@
 EntryDecision decideEntry(const EntryState &Known, const EntryState &Read,
                           EntryOrigin Origin);
 
+//! What to do with Known, the entry of a registered server, once a peer says
+//! that it saw Removed: ignore the removal, apply it, or apply it and withhold
+//! Known, which is of a later era.
+EntryDecision decideRemoval(const EntryState &Known, const EntryState &Removed);
+
 } // namespace buckthorndeck::forwarding
 
 #endif // BUCKTHORNDECK_FORWARDING_REGISTRYORDER_H
--- a/packages/forwarding/src/buckthorndeck/forwarding/ServerDirectory.cpp
+++ b/packages/forwarding/src/buckthorndeck/forwarding/ServerDirectory.cpp
@@ -146,31 +146,38 @@
 Server *ServerDirectory::mergeRemoval(RegistryEntry Removed, TimePoint Now) {
   const auto SameName = ByName.find(Removed.Record.Name);
   if (SameName == ByName.end()) {
-    const SocketAddress Address = toSocketAddress(Removed.Record.Address);
-    const std::string Name = Removed.Record.Name;
-    const auto AtAddress = ByAddress.find(Address);
-    Server *Holder = AtAddress == ByAddress.end() ? nullptr : AtAddress->second;
-    if (update(std::move(Removed.Record), Removed.Position, Now,
-               EntryOrigin::Complete) != Change::Added)
-      return nullptr;
-    markUnregistered(*ByName.at(Name), Removed.Position, Now);
-    if (Holder && Holder->Registered)
-      ByAddress[Address] = Holder;
+    addUnregistered(std::move(Removed), Now);
     return nullptr;
   }
   Server &Known = *SameName->second;
-  const StorePosition Position = Known.Position;
-  const bool Newer = Position.Era == Removed.Position.Era
-                         ? Position > Removed.Position
-                         : reportOf(Known.Record) > reportOf(Removed.Record);
-  if (!Known.Registered || Newer)
+  if (!Known.Registered)
     return nullptr;
-  if (Position > Removed.Position)
-    withhold(Known.Record, Position);
+  const EntryDecision Decision = decideRemoval(
+      {.Position = Known.Position, .Report = reportOf(Known.Record)},
+      {.Position = Removed.Position, .Report = reportOf(Removed.Record)});
+  if (Decision == EntryDecision::Ignore)
+    return nullptr;
+  if (Decision == EntryDecision::Withhold)
+    withhold(Known.Record, Known.Position);
   markUnregistered(Known, Removed.Position, Now);
   return &Known;
 }
 
+//! Adds a server that this host never knew while it was registered.
+void ServerDirectory::addUnregistered(RegistryEntry Removed, TimePoint Now) {
+  const SocketAddress Address = toSocketAddress(Removed.Record.Address);
+  const std::string Name = Removed.Record.Name;
+  const auto AtAddress = ByAddress.find(Address);
+  Server *Holder = AtAddress == ByAddress.end() ? nullptr : AtAddress->second;
+  if (update(std::move(Removed.Record), Removed.Position, Now,
+             EntryOrigin::Complete) != Change::Added)
+    return;
+  markUnregistered(*ByName.at(Name), Removed.Position, Now);
+  // The address may have another server by now.
+  if (Holder && Holder->Registered)
+    ByAddress[Address] = Holder;
+}
+
 std::vector<Server *> ServerDirectory::retain(std::vector<std::string> Present,
                                               StorePosition Position,
                                               TimePoint Now) {
--- a/packages/forwarding/src/buckthorndeck/forwarding/ServerDirectory.h
+++ b/packages/forwarding/src/buckthorndeck/forwarding/ServerDirectory.h
@@ -118,9 +118,9 @@
   //! was registered or a later position is known.
   Server *remove(const std::string &Name, StorePosition Position,
                  TimePoint Now);
-  //! Takes over that a peer saw the entry Removed go; its position is that of
-  //! the removal. A later copy of the entry is then ordered after it. Returns
-  //! the server if it was registered until now.
+  //! Takes over that a peer saw an entry removed, as decideRemoval() says. The
+  //! position of Removed is that of the removal. Returns the server if it was
+  //! registered until now.
   Server *mergeRemoval(RegistryEntry Removed, TimePoint Now);
   //! Marks every server that is not in Present, the names of a complete read as
   //! of Position, as unregistered, unless its entry is newer than the read or
@@ -167,6 +167,7 @@
   }
 
 private:
+  void addUnregistered(RegistryEntry Removed, TimePoint Now);
   void withhold(ServerRecord Record, StorePosition Position);
   void markUnregistered(Server &Backend, StorePosition Position, TimePoint Now);
   void eraseFromIndexes(Server &Backend);
--- a/packages/forwarding/tests/RegistryOrderTests.cpp
+++ b/packages/forwarding/tests/RegistryOrderTests.cpp
@@ -76,3 +76,21 @@
   CHECK(complete(Copy, Newer) == EntryDecision::Apply);
   CHECK(complete(Copy, Same) == EntryDecision::Ignore);
 }
+
+TEST_CASE("A removal that a peer saw counts unless the entry is newer",
+          "[registry_order]") {
+  // Guards against a peer's memory that takes a living server out of use.
+  const EntryState Known{.Position = at(10, 2), .Report = report(500, 7)};
+  const auto Removed = [](StorePosition Position, std::uint64_t Sequence) {
+    return EntryState{.Position = Position,
+                      .Report = report(500, Sequence),
+                      .Registered = false};
+  };
+  CHECK(decideRemoval(Known, Removed(at(9, 2), 9)) == EntryDecision::Ignore);
+  CHECK(decideRemoval(Known, Removed(at(11, 2), 7)) == EntryDecision::Apply);
+  CHECK(decideRemoval(Known, Removed(at(900, 1), 6)) == EntryDecision::Ignore);
+  CHECK(decideRemoval(Known, Removed(at(900, 1), 7)) ==
+        EntryDecision::Withhold);
+  CHECK(decideRemoval(Known, Removed(at(4, 3), 6)) == EntryDecision::Ignore);
+  CHECK(decideRemoval(Known, Removed(at(4, 3), 7)) == EntryDecision::Apply);
+}
