--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -4,4 +4,4 @@
 Folder=$(cd "$(dirname "$0")" && pwd)
 cd "$Folder/../.." || exit 2
 [ -x target/buckthorndeck ] && [ -x target/review-2/cases ] || exit 2
-exec target/review-2/cases large-entries "$Folder/record.txt"
+exec target/review-2/cases moved-route "$Folder/record.txt"
--- a/review/standins-2/cases.cpp
+++ b/review/standins-2/cases.cc
@@ -1,7 +1,7 @@
 // The cases of this review that are scripts: `cases NAME RECORD`. Exits with 1
 // if the rule was broken, 0 if it held, 2 if the case couldn't run. With
 // TROUBLE=0 in the environment, the same without the disruption.
-#include "world.h"
+#include "world.hh"
 
 #include <cmath>
 #include <cstdlib>
--- a/review/standins-2/world.cpp
+++ b/review/standins-2/world.cc
@@ -1,4 +1,4 @@
-#include "world.h"
+#include "world.hh"
 
 #include <algorithm>
 #include <arpa/inet.h>
