--- a/review/standins-2/cases.cc
+++ b/review/standins-2/cases.cc
@@ -87,7 +87,7 @@
   return Violations > 0 ? Broken : Held;
 }
 
-//! A route moves from a service that is full to another one.
+//! A route is removed from a service that is full and added for another one.
 int movedRoute(World &W) {
   for (unsigned I = 0; I < 2; ++I)
     W.addServer("old", MaxConnections);
@@ -104,15 +104,24 @@
   // Flows are kept for 10 s on average, so that 600 a second would be 6,000 at
   // a time, while the servers hold 4,000.
   traffic(W, Port, Begin, Begin + 20000, withTrouble() ? 600 : 300, 10000);
+  // Three versions in quick succession: a route is added, the route of the
+  // flows is removed, and its address is added again for the other service.
   Ms Moved = -1;
-  W.at(Begin + 16000, [&] {
-    W.Keys.put(W, "op/config",
-               configText(8, {{Port, "new"}}, Services, W.RouteIp));
-    Moved = W.now();
-  });
+  const auto Publish =
+      [&](Ms At, unsigned Version,
+          std::vector<std::pair<unsigned, std::string>> Routes) {
+        W.at(Begin + At, [&, Version, Routes] {
+          W.Keys.put(W, "op/config",
+                     configText(Version, Routes, Services, W.RouteIp));
+          Moved = W.now();
+        });
+      };
+  Publish(15200, 5, {{Port, "old"}, {9000, "new"}});
+  Publish(15600, 8, {{9000, "new"}});
+  Publish(16000, 12, {{Port, "new"}, {9000, "new"}});
   W.runUntil(Begin + 22500);
 
-  // When a server saw the first effect of version 8 through each host.
+  // When a server saw the first effect of version 12 through each host.
   std::map<std::uint32_t, Ms> Effect;
   for (const Run &R : W.Runs)
     if (R.At->Service == "new" &&
@@ -130,7 +139,7 @@
     if (Violations <= MaxDescribed)
       W.record(
           "CONFIG: request %llu, opened by copy %u sent %.0f ms after a "
-          "server saw version 8 through %s, ran at the service of version 3",
+          "server saw version 12 through %s, ran at the service of version 5",
           static_cast<unsigned long long>(R.Flow->Number), R.Copy, Late,
           W.hostName(R.Via).c_str());
   }
