--- a/packages/forwarding/src/buckthorndeck/forwarding/Forwarder.cpp
+++ b/packages/forwarding/src/buckthorndeck/forwarding/Forwarder.cpp
@@ -9,16 +9,8 @@
 
 namespace {
 
-//! Servers answer a SYN within a round trip of a few ms. Callers retransmit it
-//! only after 200 ms, while the shortest latency target is 120 ms.
-constexpr Milliseconds HandshakeTimeout{40};
 //! Servers that a SYN is sent to by hedging, including the first one.
 constexpr std::size_t MaxSynAttempts = 3;
-//! A SYN is not hedged if its timer is processed later than this, because the
-//! delay is then this host's own.
-constexpr Milliseconds MaxHedgeLateness{150};
-//! Callers retransmit a SYN up to 600 ms after the first copy.
-constexpr Milliseconds PendingConnectionLifetime{1500};
 //! Late packets of a flow that both ends have closed arrive within this time.
 constexpr Milliseconds ClosedFlowLifetime{2000};
 constexpr Milliseconds ExpiryInterval{1000};
@@ -214,9 +206,8 @@
   const Route *Matched = Routes.find(Header.Flow.Service);
   if (!Matched)
     return refuse(Refusal, PacketRefusal::NoRoute, Header.Flow, nullptr, Now);
-  const auto Pending = PendingConnections.find(Header.Flow);
-  if (Pending != PendingConnections.end())
-    return handleRetransmittedSyn(Pending->second, Header, *Matched, Now);
+  if (PendingConnection *Known = Pending.find(Header.Flow))
+    return handleRetransmittedSyn(*Known, Header, *Matched, Now);
 
   const ServiceName &Service = serviceOf(*Matched, Header.Flow);
   const RegionMask Allowed = Servers.regions().allowed(Matched->AllowedRegions);
@@ -249,14 +240,12 @@
   ++Counters.FlowsOpened;
   ++Counters.Forwarded;
   routing::recordRequest(HedgeBudget);
-  PendingConnections[Header.Flow] =
-      PendingConnection{.Packet = Bytes(Packet.begin(), Packet.end()),
-                        .Tried = {Target.Token},
-                        .StartedAt = Now};
+  Pending.start(Header.Flow, {.Packet = Bytes(Packet.begin(), Packet.end()),
+                              .Tried = {Target.Token},
+                              .StartedAt = Now});
   // The caller of a late SYN may have stopped waiting for an answer.
   if (!MayBeLate)
-    HedgeTimers.push_back(
-        {.DueAt = Now + HandshakeTimeout, .Flow = Header.Flow});
+    Pending.scheduleHedge(Header.Flow, Now);
   Flow &Tracked = Flows[Header.Flow];
   assign(Tracked, Target.Token);
   Tracked = Flow{.Token = Target.Token,
@@ -266,12 +255,12 @@
   return {.Action = PacketAction::Forward, .Target = &Target};
 }
 
-PacketDecision Forwarder::handleRetransmittedSyn(PendingConnection &Pending,
+PacketDecision Forwarder::handleRetransmittedSyn(PendingConnection &Known,
                                                  const PacketHeader &Header,
                                                  const Route &Matched,
                                                  TimePoint Now) {
   ++Counters.SynRetransmissions;
-  Server *Target = Servers.find(Pending.Tried.back());
+  Server *Target = Servers.find(Known.Tried.back());
   const bool Usable = Target && Target->Registered &&
                       !Target->Record.Draining &&
                       Target->State == Reachability::Reachable;
@@ -280,10 +269,10 @@
       Target ? ineligibility(*Target, Now, Allowed) : Ineligibility::None;
   const bool Eligible = Target && Excluded == Ineligibility::None;
   if (!Usable || !Eligible) {
-    const Placement Placed = place(Header.Flow, Matched, Pending.Tried, Now);
+    const Placement Placed = place(Header.Flow, Matched, Known.Tried, Now);
     if (Placed.Chosen) {
       Target = Placed.Chosen;
-      Pending.Tried.push_back(Target->Token);
+      Known.Tried.push_back(Target->Token);
     } else if (!Eligible) {
       Target = nullptr;
       Excluded = std::max(Excluded, Placed.Excluded);
@@ -297,8 +286,8 @@
       {{"flow", toString(Header.Flow)},
        {"server", Target->Record.Name},
        {"copy", Header.Acknowledged},
-       {"servers_tried", Pending.Tried.size()},
-       {"age_ms", ageMs(Pending.StartedAt, Now)}});
+       {"servers_tried", Known.Tried.size()},
+       {"age_ms", ageMs(Known.StartedAt, Now)}});
   Flow &Tracked = Flows[Header.Flow];
   assign(Tracked, Target->Token);
   Tracked.Pending = true;
@@ -346,10 +335,9 @@
   const FlowUpdate Update = recordPacket(Tracked, Header, Now);
   if (Update.Established) {
     ++Counters.FlowsEstablished;
-    const auto Pending = PendingConnections.find(Header.Flow);
-    if (Pending != PendingConnections.end()) {
-      Histograms->Handshake.Observe(seconds(Now - Pending->second.StartedAt));
-      PendingConnections.erase(Pending);
+    if (const PendingConnection *Known = Pending.find(Header.Flow)) {
+      Histograms->Handshake.Observe(seconds(Now - Known->StartedAt));
+      Pending.erase(Header.Flow);
     }
   }
   if (Update.Progress)
@@ -580,7 +568,7 @@
 }
 
 void Forwarder::recordPause(TimePoint Now) {
-  HedgeTimers.clear();
+  Pending.cancelHedges();
   // Answers that were acknowledged in the meantime were not seen.
   for (auto &[Key, Tracked] : Flows)
     Tracked.RequestOpen = false;
@@ -591,7 +579,8 @@
 
 DueActions Forwarder::takeDueActions(TimePoint Now) {
   refreshWarmups(Now);
-  processHedgeTimers(Now);
+  while (const std::optional<FlowKey> Unanswered = Pending.takeDueHedge(Now))
+    hedgeSyn(*Unanswered, Now);
   processResponseTimers(Now);
   Monitor.processHealthChecks(Now);
   if (Now >= NextExpiryAt)
@@ -602,38 +591,26 @@
 }
 
 TimePoint Forwarder::nextActionTime() const {
-  TimePoint Next =
-      std::min({NextExpiryAt, Monitor.nextCheckTime(),
-                Warmups.nextRefreshTime(), Outliers.nextReviewTime()});
-  if (!HedgeTimers.empty())
-    Next = std::min(Next, HedgeTimers.front().DueAt);
+  TimePoint Next = std::min(
+      {NextExpiryAt, Monitor.nextCheckTime(), Warmups.nextRefreshTime(),
+       Outliers.nextReviewTime(), Pending.nextHedgeTime()});
   if (!ResponseTimers.empty())
     Next = std::min(Next, ResponseTimers.top().DueAt);
   return Next;
 }
 
-void Forwarder::processHedgeTimers(TimePoint Now) {
-  while (!HedgeTimers.empty() && HedgeTimers.front().DueAt <= Now) {
-    const HedgeTimer Timer = HedgeTimers.front();
-    HedgeTimers.pop_front();
-    if (Now - Timer.DueAt < MaxHedgeLateness)
-      hedgeSyn(Timer.Flow, Now);
-  }
-}
-
 void Forwarder::hedgeSyn(const FlowKey &Key, TimePoint Now) {
-  const auto Found = PendingConnections.find(Key);
-  if (Found == PendingConnections.end())
+  PendingConnection *Known = Pending.find(Key);
+  if (!Known)
     return;
-  PendingConnection &Pending = Found->second;
-  Server *Previous = Servers.find(Pending.Tried.back());
-  if (Previous && Previous->LastProgressAt <= Pending.StartedAt)
+  Server *Previous = Servers.find(Known->Tried.back());
+  if (Previous && Previous->LastProgressAt <= Known->StartedAt)
     Monitor.recordUnansweredSyn(*Previous, Now);
   const Route *Matched = Routes.find(Key.Service);
-  if (!Matched || Pending.Tried.size() >= MaxSynAttempts ||
+  if (!Matched || Known->Tried.size() >= MaxSynAttempts ||
       !routing::takeRetry(HedgeBudget, Now))
     return;
-  const Placement Placed = place(Key, *Matched, Pending.Tried, Now);
+  const Placement Placed = place(Key, *Matched, Known->Tried, Now);
   if (!Placed.Chosen)
     return;
   log(LogLevel::Info, "syn_hedged",
@@ -641,12 +618,12 @@
        {"unanswered", Previous ? Previous->Record.Name : ""},
        {"server", Placed.Chosen->Record.Name},
        {"reason", toString(Placed.Reason)},
-       {"age_ms", ageMs(Pending.StartedAt, Now)}});
+       {"age_ms", ageMs(Known->StartedAt, Now)}});
   recordSyn(*Placed.Chosen, Now);
-  Pending.Tried.push_back(Placed.Chosen->Token);
+  Known->Tried.push_back(Placed.Chosen->Token);
   Actions.Packets.push_back(
-      {.Packet = Pending.Packet, .Target = Placed.Chosen->Token});
-  HedgeTimers.push_back({.DueAt = Now + HandshakeTimeout, .Flow = Key});
+      {.Packet = Known->Packet, .Target = Placed.Chosen->Token});
+  Pending.scheduleHedge(Key, Now);
   ++Counters.SynsHedged;
 }
 
@@ -678,9 +655,7 @@
   }
   for (const FlowKey &Key : Expired)
     eraseFlow(Key);
-  boost::unordered::erase_if(PendingConnections, [&](const auto &Connection) {
-    return Now - Connection.second.StartedAt > PendingConnectionLifetime;
-  });
+  Pending.eraseExpired(Now);
   Servers.eraseRemovedBefore(Now - Options.FlowLifetime);
   Servers.changeEvacuations(
       [&](Evacuations &Known) { Known.eraseRevoked(Now); });
--- a/packages/forwarding/src/buckthorndeck/forwarding/Forwarder.h
+++ b/packages/forwarding/src/buckthorndeck/forwarding/Forwarder.h
@@ -8,6 +8,7 @@
 #include "buckthorndeck/forwarding/Latencies.h"
 #include "buckthorndeck/forwarding/OutlierDetection.h"
 #include "buckthorndeck/forwarding/OverloadControl.h"
+#include "buckthorndeck/forwarding/PendingConnections.h"
 #include "buckthorndeck/forwarding/Placement.h"
 #include "buckthorndeck/forwarding/RouteTable.h"
 #include "buckthorndeck/forwarding/ServerDirectory.h"
@@ -15,7 +16,6 @@
 #include "buckthorndeck/forwarding/WarmupLimits.h"
 #include "buckthorndeck/routing/RetryBudget.h"
 
-#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -143,16 +143,6 @@
   std::size_t flowCount() const { return Flows.size(); }
 
 private:
-  //! A flow whose SYN no server has answered.
-  struct PendingConnection {
-    Bytes Packet;
-    std::vector<ServerToken> Tried;
-    TimePoint StartedAt;
-  };
-  struct HedgeTimer {
-    TimePoint DueAt;
-    FlowKey Flow;
-  };
   struct ResponseTimer {
     TimePoint DueAt;
     FlowKey Flow;
@@ -166,7 +156,7 @@
   Server *serverOfOpenFlow(const FlowKey &Flow);
   PacketDecision handleSyn(ByteView Packet, const PacketHeader &Header,
                            TimePoint Now, bool MayBeLate);
-  PacketDecision handleRetransmittedSyn(PendingConnection &Pending,
+  PacketDecision handleRetransmittedSyn(PendingConnection &Known,
                                         const PacketHeader &Header,
                                         const Route &Matched, TimePoint Now);
   PacketDecision refusePlacement(PacketAction Action, Ineligibility Excluded,
@@ -196,16 +186,13 @@
   void resetFlowsOf(const Server &Target, PacketRefusal Reason, TimePoint Now);
   bool hasLostRoute(const FlowKey &Flow) const;
   void processResponseTimers(TimePoint Now);
-  void processHedgeTimers(TimePoint Now);
   void removeExpired(TimePoint Now);
 
   ForwarderOptions Options;
   RouteTable Routes;
   ServerDirectory Servers;
   FlowMap Flows;
-  boost::unordered_flat_map<FlowKey, PendingConnection, FlowKeyHash>
-      PendingConnections;
-  std::deque<HedgeTimer> HedgeTimers;
+  PendingConnections Pending;
   //! The first one due is on top.
   std::priority_queue<ResponseTimer, std::vector<ResponseTimer>, std::greater<>>
       ResponseTimers;
