Forwarder: copies of a SYN follow the route in force

Cause: the server of the first SYN is kept for its copies, and a copy was checked against the state of that server only, not against the services of the route. Logs: syn_retransmitted copy=1 and copy=2 to servers of the former service after config_applied version=12. Hedges, pauses and stale flow entries were ruled out, see the incident. Change: a copy counts as one only if its SYN was last sent to the service that the route in force gives the flow; otherwise it is placed as a new flow, with overload control and hedging. So a changed weight moves copies too. syn_retransmitted names service and configuration version. Evidence: SynRoutingTests, 3 test cases, all failed before the change.

--- a/packages/forwarding/src/buckthorndeck/forwarding/Forwarder.cpp
+++ b/packages/forwarding/src/buckthorndeck/forwarding/Forwarder.cpp
@@ -185,6 +185,16 @@
   return Target ? &Servers.currentProcess(*Target) : nullptr;
 }
 
+//! The flow's pending connection, if its SYN was last sent to Service. Null if
+//! there is none, or if the route had another service at that time: the flow is
+//! then placed like a new one.
+PendingConnection *Forwarder::connectionTo(const ServiceName &Service,
+                                           const FlowKey &Flow) {
+  PendingConnection *Known = Pending.find(Flow);
+  const Server *Last = Known ? Servers.find(Known->Tried.back()) : nullptr;
+  return Last && Last->Record.Service == Service ? Known : nullptr;
+}
+
 PacketDecision Forwarder::handleSyn(ByteView Packet, const PacketHeader &Header,
                                     TimePoint Now, bool MayBeLate) {
   refreshWarmups(Now);
@@ -206,10 +216,10 @@
   const Route *Matched = Routes.find(Header.Flow.Service);
   if (!Matched)
     return refuse(Refusal, PacketRefusal::NoRoute, Header.Flow, nullptr, Now);
-  if (PendingConnection *Known = Pending.find(Header.Flow))
+  const ServiceName &Service = serviceOf(*Matched, Header.Flow);
+  if (PendingConnection *Known = connectionTo(Service, Header.Flow))
     return handleRetransmittedSyn(*Known, Header, *Matched, Now);
 
-  const ServiceName &Service = serviceOf(*Matched, Header.Flow);
   const RegionMask Allowed = Servers.regions().allowed(Matched->AllowedRegions);
   if (Allowed == 0)
     return refuse(Refusal, PacketRefusal::Region, Header.Flow, nullptr, Now);
@@ -285,6 +295,8 @@
   log(LogLevel::Info, "syn_retransmitted",
       {{"flow", toString(Header.Flow)},
        {"server", Target->Record.Name},
+       {"service", Target->Record.Service.value()},
+       {"config_version", Routes.version().value()},
        {"copy", Header.Acknowledged},
        {"servers_tried", Known.Tried.size()},
        {"age_ms", ageMs(Known.StartedAt, Now)}});
--- a/packages/forwarding/src/buckthorndeck/forwarding/Forwarder.h
+++ b/packages/forwarding/src/buckthorndeck/forwarding/Forwarder.h
@@ -154,6 +154,8 @@
   };
 
   Server *serverOfOpenFlow(const FlowKey &Flow);
+  PendingConnection *connectionTo(const ServiceName &Service,
+                                  const FlowKey &Flow);
   PacketDecision handleSyn(ByteView Packet, const PacketHeader &Header,
                            TimePoint Now, bool MayBeLate);
   PacketDecision handleRetransmittedSyn(PendingConnection &Known,
--- /dev/null
+++ b/packages/forwarding/tests/SynRoutingTests.cpp
@@ -0,0 +1,108 @@
+#include "buckthorndeck/forwarding/Forwarder.h"
+
+#include "Samples.h"
+
+#include <catch2/catch.hpp>
+
+using namespace buckthorndeck;
+using namespace buckthorndeck::forwarding;
+
+namespace {
+
+//! A host in "north" with servers 0 to 2 of Floor and 10 to 12 of Press.
+class TwoServices : public ForwarderFixture {
+public:
+  TwoServices() {
+    for (unsigned Number = 10; Number < 13; ++Number) {
+      ServerRecord Record = makeServer(Number);
+      Record.Service = Press;
+      Host.updateServer(std::move(Record), at(10 + Number), Now);
+    }
+  }
+
+  //! Puts a version into force in which the address of Floor has Services.
+  void applyServices(std::vector<WeightedService> Services) {
+    RouteSet Next = makeRoutes(++Version);
+    Next.Routes[0].Services = std::move(Services);
+    Host.applyRoutes(std::move(Next), Now);
+  }
+
+  void dropRoute() {
+    RouteSet Next = makeRoutes(++Version);
+    Next.Routes.erase(Next.Routes.begin());
+    Host.applyRoutes(std::move(Next), Now);
+  }
+
+  std::uint64_t Version = 1;
+};
+
+} // namespace
+
+TEST_CASE("A copy of a SYN goes to the service that its route has now",
+          "[forwarder][syn]") {
+  // Guards against requests that run at a service which the configuration in
+  // force no longer allows: copies went to the server of the first SYN.
+  TwoServices Site;
+  const FlowKey Flow = makeFlow(1);
+  REQUIRE(Site.handle(makeSyn(Flow)).Target->Record.Service == Floor);
+  Site.advance(Milliseconds(45));
+  SECTION("A version moves the route") {
+    Site.applyServices({{.Service = Press}});
+  }
+  SECTION("A version drops the route and a later one adds it again") {
+    Site.dropRoute();
+    Site.advance(Milliseconds(155));
+    CHECK(Site.handle(makeSyn(Flow, 1)).Reason == PacketRefusal::NoRoute);
+    Site.applyServices({{.Service = Press}});
+  }
+  for (const std::uint32_t Copy : {1U, 2U}) {
+    Site.advance(Milliseconds(200));
+    const PacketDecision Sent = Site.handle(makeSyn(Flow, Copy));
+    REQUIRE(Sent.Target);
+    CHECK(Sent.Target->Record.Service == Press);
+    for (const OutgoingPacket &Hedge : Site.advance(Milliseconds(45)).Packets)
+      CHECK(Site.Host.servers().find(Hedge.Target)->Record.Service == Press);
+  }
+}
+
+TEST_CASE("Copies of SYNs follow the weights of their route",
+          "[forwarder][syn]") {
+  // Guards against the same after a change of weights only, by which hosts
+  // would send the copies of one SYN to different services.
+  TwoServices Site;
+  Site.applyServices({{.Service = Floor, .Weight = 3}, {.Service = Press}});
+  for (std::uint16_t Port = 1; Port <= 100; ++Port)
+    Site.handle(makeSyn(makeFlow(Port)));
+  Site.advance(Milliseconds(200));
+  Site.applyServices({{.Service = Floor}, {.Service = Press, .Weight = 3}});
+  const Route &InForce = *Site.Host.routes().find(FloorAddress);
+  for (std::uint16_t Port = 1; Port <= 100; ++Port) {
+    const FlowKey Flow = makeFlow(Port);
+    CHECK(Site.handle(makeSyn(Flow, 1)).Target->Record.Service ==
+          serviceOf(InForce, Flow));
+  }
+}
+
+TEST_CASE("A copy of a SYN is placed like a new flow of its new service",
+          "[forwarder][syn]") {
+  // Guards against copies that evade what holds for the flows of a service.
+  TwoServices Site;
+  const FlowKey Flow = makeFlow(1);
+  Site.handle(makeSyn(Flow));
+  Site.advance(Milliseconds(200));
+  Site.applyServices({{.Service = Press}});
+  SECTION("It is hedged") {
+    const Server *First = Site.handle(makeSyn(Flow, 1)).Target;
+    const DueActions Actions = Site.advance(Milliseconds(40));
+    REQUIRE(Actions.Packets.size() == 1);
+    CHECK(Actions.Packets[0].Target != First->Token);
+  }
+  SECTION("It is refused without a reset if the service has no server") {
+    Site.Host.servers().forEach([](Server &Each) {
+      Each.Record.Draining = Each.Record.Service == Press;
+    });
+    const PacketDecision Refused = Site.handle(makeSyn(Flow, 1));
+    CHECK(Refused.Action == PacketAction::Drop);
+    CHECK(Refused.Reason == PacketRefusal::NoServer);
+  }
+}
