Forwarder: a SYN with another sequence number opens a new flow

A flow from a port that was used before went to the server of the earlier flow, past routes, evacuations, regions and draining, for as long as that flow's entry lasted (IdleTimeoutMs). Cause: a SYN was taken for a copy of an open or pending flow's SYN by its addresses and ports alone. Change: flow table and pending connections keep the sequence number of the SYN. A SYN with another one is placed as a new flow; copies of an open flow's SYN still go to its server, also at hosts that only saw later packets of it. The entry of a flow does not grow: the number fills padding.

--- a/packages/forwarding/src/buckthorndeck/forwarding/FlowTable.cpp
+++ b/packages/forwarding/src/buckthorndeck/forwarding/FlowTable.cpp
@@ -4,6 +4,9 @@
 
 namespace {
 
+//! A caller sends less while copies of its SYN may still arrive.
+constexpr std::uint32_t MaxBytesBeforeSynCopy = 1 << 20;
+
 //! Whether First follows Second; sequence numbers wrap around.
 bool isAfter(std::uint32_t First, std::uint32_t Second) {
   return static_cast<std::int32_t>(First - Second) > 0;
@@ -76,4 +79,10 @@
   return Update;
 }
 
+bool isSynOf(const Flow &Tracked, std::uint32_t Sequence) {
+  if (Tracked.SynSeen)
+    return Sequence == Tracked.SynSequence;
+  return Tracked.EndSequence - Sequence <= MaxBytesBeforeSynCopy;
+}
+
 } // namespace buckthorndeck::forwarding
--- a/packages/forwarding/src/buckthorndeck/forwarding/FlowTable.h
+++ b/packages/forwarding/src/buckthorndeck/forwarding/FlowTable.h
@@ -16,12 +16,14 @@
  */
 struct Flow {
   ServerToken Token;
-  TimePoint FirstPacketAt; //!< First packet that this host received.
+  std::uint32_t SynSequence = 0; //!< Valid if SynSeen is set.
+  TimePoint FirstPacketAt;       //!< First packet that this host received.
   TimePoint LastPacketAt;
   TimePoint WaitingSince;            //!< First unanswered data; epoch if none.
   std::uint32_t Acknowledged = 0;    //!< Last acknowledged by the caller.
   std::uint32_t EndSequence = 0;     //!< End of the caller's data.
   std::uint32_t Retransmissions = 0; //!< Since the last progress.
+  bool SynSeen = false;              //!< This host received its SYN.
   bool Pending = false;              //!< Only its SYN was seen.
   bool Finished = false;             //!< The caller sends no more data.
   bool RequestOpen = false;          //!< A request whose answer has not ended.
@@ -51,6 +53,12 @@
 FlowUpdate recordPacket(Flow &Tracked, const PacketHeader &Header,
                         TimePoint Now);
 
+//! Whether a SYN with this sequence number is a copy of the flow's own. If this
+//! host did not receive that one, the number must shortly precede the flow's
+//! data. Otherwise the SYN opens another flow with the same addresses and
+//! ports.
+bool isSynOf(const Flow &Tracked, std::uint32_t Sequence);
+
 //! Acknowledged so far of the answer to the last request.
 inline std::uint32_t answerBytes(const Flow &Tracked) {
   return Tracked.Acknowledged - Tracked.AnswerStart;
--- a/packages/forwarding/src/buckthorndeck/forwarding/Forwarder.cpp
+++ b/packages/forwarding/src/buckthorndeck/forwarding/Forwarder.cpp
@@ -175,23 +175,26 @@
   return Placed;
 }
 
-//! The server of a flow that is open at this host; null if there is none.
-Server *Forwarder::serverOfOpenFlow(const FlowKey &Flow) {
-  const auto Tracked = Flows.find(Flow);
+//! The server of the flow that Syn has opened; null if the flow is not open at
+//! this host.
+Server *Forwarder::serverOfOpenFlow(const PacketHeader &Syn) {
+  const auto Tracked = Flows.find(Syn.Flow);
   if (Tracked == Flows.end() || Tracked->second.Pending ||
-      Tracked->second.Finished)
+      Tracked->second.Finished || !isSynOf(Tracked->second, Syn.Sequence))
     return nullptr;
   Server *Target = Servers.find(Tracked->second.Token);
   return Target ? &Servers.currentProcess(*Target) : nullptr;
 }
 
-//! The flow's pending connection, if its SYN was last sent to Service. Null if
-//! there is none, or if the route had another service at that time: the flow is
-//! then placed like a new one.
+//! The pending connection of Syn's flow, if Syn is a copy of a SYN that was
+//! last sent to Service. Null if there is none, or if the route had another
+//! service at that time: the flow is then placed like a new one.
 PendingConnection *Forwarder::connectionTo(const ServiceName &Service,
-                                           const FlowKey &Flow) {
-  PendingConnection *Known = Pending.find(Flow);
-  const Server *Last = Known ? Servers.find(Known->Tried.back()) : nullptr;
+                                           const PacketHeader &Syn) {
+  PendingConnection *Known = Pending.find(Syn.Flow);
+  if (!Known || Known->Sequence != Syn.Sequence)
+    return nullptr;
+  const Server *Last = Servers.find(Known->Tried.back());
   return Last && Last->Record.Service == Service ? Known : nullptr;
 }
 
@@ -199,7 +202,7 @@
                                     TimePoint Now, bool MayBeLate) {
   refreshWarmups(Now);
   // The network may deliver a SYN twice or late.
-  if (Server *Target = serverOfOpenFlow(Header.Flow)) {
+  if (Server *Target = serverOfOpenFlow(Header)) {
     ++Counters.SynRetransmissions;
     // The server has the flow and needs no copy.
     if (ineligibility(*Target, Now) == Ineligibility::WarmupLimit)
@@ -217,7 +220,7 @@
   if (!Matched)
     return refuse(Refusal, PacketRefusal::NoRoute, Header.Flow, nullptr, Now);
   const ServiceName &Service = serviceOf(*Matched, Header.Flow);
-  if (PendingConnection *Known = connectionTo(Service, Header.Flow))
+  if (PendingConnection *Known = connectionTo(Service, Header))
     return handleRetransmittedSyn(*Known, Header, *Matched, Now);
 
   const RegionMask Allowed = Servers.regions().allowed(Matched->AllowedRegions);
@@ -251,6 +254,7 @@
   ++Counters.Forwarded;
   routing::recordRequest(HedgeBudget);
   Pending.start(Header.Flow, {.Packet = Bytes(Packet.begin(), Packet.end()),
+                              .Sequence = Header.Sequence,
                               .Tried = {Target.Token},
                               .StartedAt = Now});
   // The caller of a late SYN may have stopped waiting for an answer.
@@ -259,8 +263,10 @@
   Flow &Tracked = Flows[Header.Flow];
   assign(Tracked, Target.Token);
   Tracked = Flow{.Token = Target.Token,
+                 .SynSequence = Header.Sequence,
                  .FirstPacketAt = Now,
                  .LastPacketAt = Now,
+                 .SynSeen = true,
                  .Pending = true};
   return {.Action = PacketAction::Forward, .Target = &Target};
 }
--- a/packages/forwarding/src/buckthorndeck/forwarding/Forwarder.h
+++ b/packages/forwarding/src/buckthorndeck/forwarding/Forwarder.h
@@ -153,9 +153,9 @@
     }
   };
 
-  Server *serverOfOpenFlow(const FlowKey &Flow);
+  Server *serverOfOpenFlow(const PacketHeader &Syn);
   PendingConnection *connectionTo(const ServiceName &Service,
-                                  const FlowKey &Flow);
+                                  const PacketHeader &Syn);
   PacketDecision handleSyn(ByteView Packet, const PacketHeader &Header,
                            TimePoint Now, bool MayBeLate);
   PacketDecision handleRetransmittedSyn(PendingConnection &Known,
--- a/packages/forwarding/src/buckthorndeck/forwarding/PendingConnections.h
+++ b/packages/forwarding/src/buckthorndeck/forwarding/PendingConnections.h
@@ -14,7 +14,8 @@
 
 //! A flow whose SYN no server has answered.
 struct PendingConnection {
-  Bytes Packet; //!< Its SYN.
+  Bytes Packet;               //!< Its SYN.
+  std::uint32_t Sequence = 0; //!< Of the SYN.
   //! Servers that the SYN was sent to; copies go to the last one.
   std::vector<ServerToken> Tried;
   TimePoint StartedAt;
--- a/packages/forwarding/tests/SynRoutingTests.cpp
+++ b/packages/forwarding/tests/SynRoutingTests.cpp
@@ -9,6 +9,9 @@
 
 namespace {
 
+//! Sequence number of the SYN of a second flow from the same port.
+constexpr std::uint32_t SecondSequence = 0x70000000;
+
 //! A host in "north" with servers 0 to 2 of Floor and 10 to 12 of Press.
 class TwoServices : public ForwarderFixture {
 public:
@@ -36,6 +39,12 @@
   std::uint64_t Version = 1;
 };
 
+PacketHeader makeSecondSyn(const FlowKey &Flow) {
+  PacketHeader Result = makeSyn(Flow);
+  Result.Sequence = SecondSequence;
+  return Result;
+}
+
 } // namespace
 
 TEST_CASE("A copy of a SYN goes to the service that its route has now",
@@ -148,3 +157,83 @@
   CHECK(Site.handle(makeSyn(makeFlow(1), 1)).Target == &Only);
   CHECK(Site.handle(makeSyn(makeFlow(1), 2)).Target == &Only);
 }
+
+TEST_CASE("A new flow from the port of an open one is placed anew",
+          "[forwarder][syn]") {
+  // Guards against flows that are sent wherever an earlier flow of the same
+  // addresses and ports was: its entry stays if its end passed another host.
+  TwoServices Site;
+  const FlowKey Flow = makeFlow(1);
+  const bool PlacedHere = GENERATE(true, false);
+  CAPTURE(PlacedHere);
+  if (PlacedHere)
+    Site.establishFlow(Flow);
+  else
+    Site.handle(makeData(Flow, tokenOf(makeServer(1)), 1001, 5000));
+  Site.advance(Milliseconds(3000));
+  SECTION("The route has moved") {
+    Site.applyServices({{.Service = Press}});
+    const PacketDecision Placed = Site.handle(makeSecondSyn(Flow));
+    REQUIRE(Placed.Target);
+    CHECK(Placed.Target->Record.Service == Press);
+  }
+  SECTION("The route was dropped") {
+    Site.dropRoute();
+    CHECK(Site.handle(makeSecondSyn(Flow)).Reason == PacketRefusal::NoRoute);
+  }
+  SECTION("The failure domain is evacuated") {
+    applyEvacuation(Site.Host, makeEvacuation("north", at(40)), Site.Now);
+    CHECK(Site.handle(makeSecondSyn(Flow)).Reason == PacketRefusal::Evacuated);
+  }
+  SECTION("All servers drain") {
+    Site.Host.servers().forEach(
+        [](Server &Each) { Each.Record.Draining = true; });
+    CHECK(Site.handle(makeSecondSyn(Flow)).Reason == PacketRefusal::NoServer);
+  }
+}
+
+TEST_CASE("Packets of a new flow from the port of an open one start its state "
+          "anew",
+          "[forwarder][syn]") {
+  // Guards against a reset of the new flow because the route was dropped after
+  // the earlier one had begun, and has come back at other hosts.
+  TwoServices Site;
+  const FlowKey Flow = makeFlow(1);
+  Site.establishFlow(Flow);
+  Site.advance(Milliseconds(1000));
+  Server &Target = *Site.handle(makeSecondSyn(Flow)).Target;
+  CHECK(Target.Flows == 1);
+  Site.advance(Milliseconds(1));
+  Site.handle(makeData(Flow, Target.Token, SecondSequence + 1, 9000));
+  CHECK(Site.Host.counters().FlowsEstablished == 2);
+  CHECK(Site.Host.flowCount() == 1);
+}
+
+TEST_CASE("A new flow from the port of a pending one is placed anew",
+          "[forwarder][syn]") {
+  // Guards against servers that get the SYN of the earlier flow instead.
+  ForwarderFixture Site;
+  const FlowKey Flow = makeFlow(1);
+  Site.handle(makeSyn(Flow));
+  Site.advance(Milliseconds(200));
+  Site.Packet.back() = 7;
+  CHECK(Site.handle(makeSecondSyn(Flow)).Action == PacketAction::Forward);
+  CHECK(Site.Host.counters().FlowsOpened == 2);
+  const DueActions Actions = Site.advance(Milliseconds(40));
+  REQUIRE(Actions.Packets.size() == 1);
+  CHECK(Actions.Packets[0].Packet == Site.Packet);
+}
+
+TEST_CASE("A late copy of the SYN of a flow that another host placed goes to "
+          "the flow's server",
+          "[forwarder][syn]") {
+  // Guards against second servers for flows that have just opened.
+  TwoServices Site;
+  const FlowKey Flow = makeFlow(1);
+  const ServerToken Token = tokenOf(makeServer(2));
+  Site.handle(makeData(Flow, Token, 1901, 5000));
+  Site.applyServices({{.Service = Press}});
+  const PacketDecision Sent = Site.handle(makeSyn(Flow, 1));
+  REQUIRE(Sent.Target);
+  CHECK(Sent.Target->Token == Token);
+}
