Placement: a superseded process of a server is no fallback

If a process of another service was started under the name and at the address of the last server of a service, new flows of that service reached it for up to 2 s. Cause: a process whose entry was replaced under its name is unregistered like one whose entry lapsed, and servers that were just removed are the second fallback. Both processes have the same id, which is all that guards against a reused address. Change: a process that was superseded under its name is never a fallback, until its own entry is read again.

--- a/packages/forwarding/src/buckthorndeck/forwarding/Placement.cpp
+++ b/packages/forwarding/src/buckthorndeck/forwarding/Placement.cpp
@@ -40,7 +40,8 @@
 }
 
 bool isRecentlyRemoved(const Server &Candidate, TimePoint Now) {
-  return !Candidate.Registered && !Candidate.Record.Draining &&
+  return !Candidate.Registered && !Candidate.Superseded &&
+         !Candidate.Record.Draining &&
          Candidate.State == Reachability::Reachable &&
          Now - Candidate.RemovedAt < RecentlyRemovedTime;
 }
--- a/packages/forwarding/src/buckthorndeck/forwarding/ServerDirectory.cpp
+++ b/packages/forwarding/src/buckthorndeck/forwarding/ServerDirectory.cpp
@@ -86,8 +86,10 @@
     return Change::None;
 
   // The process was restarted under the same name.
-  if (SameName != ByName.end() && SameName->second->Token != Token)
+  if (SameName != ByName.end() && SameName->second->Token != Token) {
     markUnregistered(*SameName->second, Position, Now);
+    SameName->second->Superseded = true;
+  }
 
   Change Result = Change::Updated;
   Server *Target = nullptr;
@@ -113,6 +115,7 @@
   Target->Evacuated = Evacuated.contains(Target->Record.Domain);
   Target->Position = Position;
   Target->Registered = true;
+  Target->Superseded = false;
   return Result;
 }
 
--- a/packages/forwarding/src/buckthorndeck/forwarding/ServerDirectory.h
+++ b/packages/forwarding/src/buckthorndeck/forwarding/ServerDirectory.h
@@ -84,9 +84,11 @@
 struct Server {
   ServerRecord Record;
   ServerToken Token;
-  StorePosition Position;  //!< Where its entry was last written or removed.
-  bool Registered = true;  //!< Its registry entry exists.
-  TimePoint RemovedAt;     //!< When Registered became false.
+  StorePosition Position; //!< Where its entry was last written or removed.
+  bool Registered = true; //!< Its registry entry exists.
+  TimePoint RemovedAt;    //!< When Registered became false.
+  //! Another process has been started under its name.
+  bool Superseded = false;
   TimePoint WarmupEndsAt;  //!< End of its slow start.
   bool Evacuated = false;  //!< Its failure domain is evacuated.
   TimePoint WarmupShareAt; //!< While it is cold: when this host may send again.
--- a/packages/forwarding/tests/PlacementTests.cpp
+++ b/packages/forwarding/tests/PlacementTests.cpp
@@ -192,3 +192,17 @@
     CHECK(Count < 1120);
   }
 }
+
+TEST_CASE("The former process of a server that was started again is no "
+          "fallback",
+          "[placement]") {
+  // Guards against flows that reach another service: they are addressed to the
+  // new process, which may serve one.
+  PlacementFixture Site;
+  Site.add(0, "north");
+  ServerRecord Next = makeServer(0);
+  Next.StartTime = Incarnation(Next.StartTime.value() + 1);
+  Next.Service = Press;
+  Site.Servers.update(Next, at(2), Start);
+  CHECK(Site.place().Reason == PlacementReason::NoServer);
+}
