RegistryReader: reads the registry anew after a watch answer that it can't read

Cause: the answer to the watch has 5.6 MB, a host reads 4 MiB. It took that for a failed connection and repeated the same watch, whose answer is the same again. So does an answer that isn't in the format, such as one with more than 10,000 events. Change: callHttp() tells a response over the limit apart (ErrorCode::TooLarge); StoreClient still reports it as Timeout, since the call may have had an effect. After such an answer or one that can't be decoded, a host reads the registry in pages and watches on from there, with the same pause as after an expired history. An answer of a former era is still only ignored. Evidence: "After a watch's answer that can't be read, a host reads the whole registry" failed before with both codes.

--- a/packages/base/src/buckthorndeck/base/Error.cpp
+++ b/packages/base/src/buckthorndeck/base/Error.cpp
@@ -18,6 +18,8 @@
     return "refused";
   case ErrorCode::Expired:
     return "expired";
+  case ErrorCode::TooLarge:
+    return "too_large";
   }
   return "unknown";
 }
--- a/packages/base/src/buckthorndeck/base/Error.h
+++ b/packages/base/src/buckthorndeck/base/Error.h
@@ -15,6 +15,8 @@
   NotFound,    //!< The named thing does not exist.
   Refused,     //!< The peer refused and did nothing.
   Expired,     //!< The history that was asked for is no longer kept.
+  TooLarge,    //!< The answer exceeds a limit; the operation may have taken
+               //!< effect.
 };
 
 //! Lower-case name of a code, as printed in logs.
--- a/packages/config/src/buckthorndeck/config/StoreClient.cpp
+++ b/packages/config/src/buckthorndeck/config/StoreClient.cpp
@@ -129,8 +129,13 @@
     recordFailure(Breaker, Clock::now());
   else
     recordSuccess(Breaker);
-  if (!Answer)
-    co_return Unexpected(Answer.error());
+  if (!Answer) {
+    Error Failure = Answer.error();
+    // As for a missing answer: the call may have had an effect.
+    if (Failure.Code == ErrorCode::TooLarge)
+      Failure.Code = ErrorCode::Timeout;
+    co_return Unexpected(std::move(Failure));
+  }
   if (isRateLimited(Answer->Status))
     co_return Unexpected(
         failure(ErrorCode::Refused, Request,
--- a/packages/forwarding/src/buckthorndeck/forwarding/Registry.h
+++ b/packages/forwarding/src/buckthorndeck/forwarding/Registry.h
@@ -55,7 +55,8 @@
  * The calls to the platform's store that the packet path needs.
  *
  * Each makes one attempt. ErrorCode::Expired means that the store no longer has
- * the history since the given revision.
+ * the history since the given revision, TooLarge that the changes since then
+ * don't fit into an answer that this host reads.
  */
 struct RegistrySource {
   //! Reads servers and configuration. The first page is the one from "".
--- a/packages/forwarding/src/buckthorndeck/forwarding/RegistryReader.cpp
+++ b/packages/forwarding/src/buckthorndeck/forwarding/RegistryReader.cpp
@@ -69,6 +69,14 @@
          Changes.Bytes >= TruncatedAnswerBytes;
 }
 
+//! Whether the same watch would fail again: its history is no longer kept, or
+//! its answer can't be read.
+bool failsAgain(const Error &Failure) {
+  return Failure.Code == ErrorCode::Expired ||
+         Failure.Code == ErrorCode::TooLarge ||
+         Failure.Code == ErrorCode::Invalid;
+}
+
 //! An answer that the host must not use, since it knows a later position.
 void logStaleAnswer(const char *Event, StorePosition Read,
                     StorePosition Known) {
@@ -333,8 +341,9 @@
       Taken);
 }
 
-//! Watches the store once. Returns false if the answer does not lead on from
-//! the view: the store no longer has the history or is in a later era.
+//! Watches the store once. Returns false if no watch leads on from the view:
+//! the store no longer has the history, is in a later era, or gives an answer
+//! that can't be read.
 Task<bool> RegistryReader::watchStore() {
   const BootClock::time_point Started = BootClock::now();
   const Milliseconds Wait = watchWait();
@@ -344,6 +353,7 @@
   if (Stopped)
     co_return true;
   const StorePosition Own = Known.view().AsOf;
+  const bool ReadAnew = !Changes && failsAgain(Changes.error());
   if (Changes && Changes->AsOf.Era < Own.Era) {
     logStaleAnswer("stale_watch_ignored", Changes->AsOf, Own);
     Changes = Unexpected(Error{.Code = ErrorCode::Invalid,
@@ -355,11 +365,10 @@
     StoreFailed = true;
     // After a complete read, peers that wait are answered by this host. Refused
     // now, they would all read the store.
-    const bool Expired = Changes.error().Code == ErrorCode::Expired;
-    if (!Expired)
+    if (!ReadAnew)
       ServedChanges.recordAttempt();
     co_await pauseAfterFailure(Started);
-    co_return !Expired;
+    co_return !ReadAnew;
   }
   recordCallResult(std::nullopt);
   logWatch(*Changes);
--- a/packages/forwarding/tests/RegistryReaderTests.cpp
+++ b/packages/forwarding/tests/RegistryReaderTests.cpp
@@ -226,6 +226,25 @@
   CHECK(Site.Store.Loads == 2);
 }
 
+TEST_CASE("After a watch's answer that can't be read, a host reads the whole "
+          "registry",
+          "[registry_reader]") {
+  // Guards against hosts that learn nothing more: the answer to the same watch
+  // has the same changes again, for as long as the store keeps its history.
+  ReaderFixture Site;
+  Site.start();
+  runTask(Site.Context, Site.Store.waitWatches(1));
+  Site.Store.Entries.push_back(entryOf(1, 80));
+  Site.Store.AsOf = at(90);
+  const ErrorCode Code = GENERATE(ErrorCode::TooLarge, ErrorCode::Invalid);
+  CAPTURE(toString(Code));
+  Site.Store.answerWatch(Unexpected(makeError(Code)));
+  runTask(Site.Context, Site.Store.waitWatches(2));
+  CHECK(Site.Store.Loads == 2);
+  CHECK(Site.Store.Watches[1] == at(90));
+  CHECK(Site.Host.servers().find(tokenOf(makeServer(1))));
+}
+
 TEST_CASE("A failed watch is repeated from the same revision",
           "[registry_reader]") {
   ReaderFixture Site;
--- a/packages/net/src/buckthorndeck/net/HttpClient.cpp
+++ b/packages/net/src/buckthorndeck/net/HttpClient.cpp
@@ -91,6 +91,10 @@
   while (!Parser.is_done()) {
     auto [ReadCode, Read] = co_await http::async_read_some(
         Stream, Buffer, Parser, asio::as_tuple(asio::use_awaitable));
+    if (ReadCode == http::error::body_limit)
+      co_return Failed(ErrorCode::TooLarge,
+                       "the response has more than " +
+                           std::to_string(MaxResponseBytes) + " bytes");
     if (ReadCode)
       co_return Failed(ErrorCode::Timeout, ReadCode.message());
     if (Timeouts.Pause)
--- a/packages/net/src/buckthorndeck/net/HttpClient.h
+++ b/packages/net/src/buckthorndeck/net/HttpClient.h
@@ -24,8 +24,9 @@
  * Sends one HTTP/1.1 request over a new connection and reads the response.
  *
  * Unavailable means that the connection was never made, so the request had no
- * effect; Invalid that the method is unknown; Timeout covers everything after
- * that, when it may have had one.
+ * effect; Invalid that the method is unknown; TooLarge that the response has
+ * more than 4 MiB; Timeout covers everything else after the request was sent.
+ * The request may have had an effect with the last two.
  */
 Task<Expected<HttpResponse>> callHttp(TcpEndpoint Peer, HttpRequest Request,
                                       CallTimeouts Timeouts);
--- a/packages/operator/src/buckthorndeck/operator/Commands.cpp
+++ b/packages/operator/src/buckthorndeck/operator/Commands.cpp
@@ -51,6 +51,7 @@
   case ErrorCode::Conflict:
     return ExitCode::Conflict;
   case ErrorCode::Timeout:
+  case ErrorCode::TooLarge:
     return ExitCode::UnknownOutcome;
   case ErrorCode::Unavailable:
   case ErrorCode::Refused:
