Placement: a removed server is a fallback no longer than its removal allows

Cause: a removed server is a fallback for 2 s, since entries lapse during outages of the store. The 2 s began when the host read of the removal, which may be 1.5 s late, after the pause between two watches. Change: KnownRegistry keeps when the last complete answer arrived. No removal in the next one is older, and none that a watch waited for is older than its answer. The fallback ends when the bound of a removal has passed since that time. After a failed call to the store there is no such limit. Removals from relays and complete reads are limited likewise. server_removed has fallback_ms.

--- a/packages/entryhost/src/buckthorndeck/entryhost/PacketHost.cpp
+++ b/packages/entryhost/src/buckthorndeck/entryhost/PacketHost.cpp
@@ -98,6 +98,7 @@
                   .FreshnessLimit = Options.FreshnessLimit,
                   .RelayWait = Options.RelayWait,
                   .RelayPause = Options.RelayPause,
+                  .RemovalLimit = Options.RemovalLimit,
                   .RandomSeed = Options.RandomSeed + 1},
                  this->Source, PacketForwarder, Peers),
         Random(Options.RandomSeed + 2), Timer(Where), Stopped(Where) {
--- a/packages/entryhost/src/buckthorndeck/entryhost/PacketSettings.cpp
+++ b/packages/entryhost/src/buckthorndeck/entryhost/PacketSettings.cpp
@@ -18,6 +18,8 @@
 // Parts of the freshness limit.
 constexpr int RelayWaitDivisor = 8;
 constexpr int RelayPauseDivisor = 16;
+//! A flow that was just placed reaches its server within this time.
+constexpr Milliseconds PlacementMargin{100};
 constexpr double Permille = 1000;
 
 constexpr const char *SchemaText = R"json({
@@ -133,6 +135,8 @@
                std::min(Reader.value<unsigned>("drain_within_ms"),
                         Reader.value<unsigned>("evacuate_within_ms"))));
   Result.ChangePause = ApplyWithin / ChangePauseDivisor;
+  Result.RemovalLimit =
+      std::max(Milliseconds(0), ApplyWithin - PlacementMargin);
   Result.FreshnessLimit =
       std::chrono::duration_cast<Milliseconds>(FreshnessShare * ApplyWithin);
   Result.RelayWait = Result.FreshnessLimit / RelayWaitDivisor;
--- a/packages/entryhost/src/buckthorndeck/entryhost/PacketSettings.h
+++ b/packages/entryhost/src/buckthorndeck/entryhost/PacketSettings.h
@@ -35,8 +35,11 @@
   //! Age of the view above which SYNs that waited during a pause are dropped:
   //! an evacuation must be in force after this time.
   Milliseconds EvacuateWithin{600'000};
-  Milliseconds RelayWait{};            //!< WatchWait of a relay.
-  Milliseconds RelayPause{};           //!< ChangePause of a relay.
+  Milliseconds RelayWait{};  //!< WatchWait of a relay.
+  Milliseconds RelayPause{}; //!< ChangePause of a relay.
+  //! After the store removed a server's entry, it gets no new flows from then
+  //! on.
+  Milliseconds RemovalLimit{};
   std::uint32_t ProcessorPermille = 0; //!< Share of a processor; 0 if unknown.
   //! Bound of what all hosts together send to a cold server in a second: the
   //! service's rate times WarmupOverage plus WarmupSlack.
--- a/packages/forwarding/src/buckthorndeck/forwarding/Forwarder.cpp
+++ b/packages/forwarding/src/buckthorndeck/forwarding/Forwarder.cpp
@@ -24,6 +24,14 @@
   return std::to_string(Token.value());
 }
 
+//! For how long a removed server may still get new flows, as far as the time of
+//! its removal limits that; -1 if it does not.
+std::int64_t fallbackMs(const Server &Removed, TimePoint Now) {
+  if (Removed.FallbackUntil == TimePoint::max())
+    return -1;
+  return std::max<std::int64_t>(0, ageMs(Now, Removed.FallbackUntil));
+}
+
 double seconds(Clock::duration Time) {
   return std::chrono::duration<double>(Time).count();
 }
@@ -526,8 +534,8 @@
 }
 
 void Forwarder::removeServer(const std::string &Name, StorePosition Position,
-                             TimePoint Now) {
-  if (Server *Target = Servers.remove(Name, Position, Now))
+                             TimePoint Now, TimePoint FallbackUntil) {
+  if (Server *Target = Servers.remove(Name, Position, Now, FallbackUntil))
     recordRemoval(*Target, "removed_from_registry", Now);
   else
     log(LogLevel::Debug, "server_removal_ignored",
@@ -542,8 +550,10 @@
 }
 
 void Forwarder::retainServers(std::vector<std::string> Present,
-                              StorePosition Position, TimePoint Now) {
-  for (Server *Target : Servers.retain(std::move(Present), Position, Now))
+                              StorePosition Position, TimePoint Now,
+                              TimePoint FallbackUntil) {
+  for (Server *Target :
+       Servers.retain(std::move(Present), Position, Now, FallbackUntil))
     recordRemoval(*Target, "absent_from_registry", Now);
 }
 
@@ -561,6 +571,7 @@
        {"cause", Cause},
        {"draining", Target.Record.Draining},
        {"flows", Target.Flows},
+       {"fallback_ms", fallbackMs(Target, Now)},
        {"progress_age_ms", ageMs(Target.LastProgressAt, Now)},
        {"server_era", Target.Position.Era.value()},
        {"server_revision", Target.Position.Revision.value()}});
--- a/packages/forwarding/src/buckthorndeck/forwarding/Forwarder.h
+++ b/packages/forwarding/src/buckthorndeck/forwarding/Forwarder.h
@@ -96,14 +96,16 @@
   void updateServer(ServerRecord Record, StorePosition Position, TimePoint Now,
                     LogLevel Level = LogLevel::Info,
                     EntryOrigin Origin = EntryOrigin::Write);
+  //! The server gets no new flows from FallbackUntil on, not even as a
+  //! fallback.
   void removeServer(const std::string &Name, StorePosition Position,
-                    TimePoint Now);
+                    TimePoint Now, TimePoint FallbackUntil = TimePoint::max());
   //! Takes over that a peer saw an entry removed, see ServerDirectory.
   void mergeRemoval(RegistryEntry Removed, TimePoint Now);
   //! Removes the servers that are not in Present, the names that a complete
-  //! read of the registry found.
+  //! read of the registry found. FallbackUntil as for removeServer().
   void retainServers(std::vector<std::string> Present, StorePosition Position,
-                     TimePoint Now);
+                     TimePoint Now, TimePoint FallbackUntil = TimePoint::max());
   //! Ends the confirmation time of Era: withheld entries are applied unless
   //! they have changed, and servers without an entry of Era are removed.
   void confirmServers(StoreEra Era, TimePoint Now);
--- a/packages/forwarding/src/buckthorndeck/forwarding/KnownRegistry.cpp
+++ b/packages/forwarding/src/buckthorndeck/forwarding/KnownRegistry.cpp
@@ -11,10 +11,35 @@
 //! level only, so as not to use up the line limit of the log. watch_answered
 //! gives the number of events.
 constexpr std::size_t MaxLoggedChanges = 20;
+//! A watch that was answered later than this waited for a change. The store
+//! answers others within tens of ms.
+constexpr Milliseconds MinWatchWait{500};
+
+//! A time before which none of the changes in an answer was made.
+std::optional<BootClock::time_point>
+changedAfter(const std::optional<AnswerTimes> &Times,
+             std::optional<BootClock::time_point> LastCurrentAt) {
+  if (LastCurrentAt && Times &&
+      Times->CurrentAt - Times->VerifiedAt >= MinWatchWait)
+    return std::max(*LastCurrentAt, Times->CurrentAt - MinWatchWait);
+  return LastCurrentAt;
+}
 
 } // namespace
 
-void KnownRegistry::apply(RegistryChanges &Changes, EntryOrigin Origin) {
+//! Until when servers that the store removed later than RemovedAfter may get
+//! new flows.
+TimePoint
+KnownRegistry::fallbackLimit(std::optional<BootClock::time_point> RemovedAfter,
+                             TimePoint Now) const {
+  if (!RemovedAfter)
+    return TimePoint::max();
+  return Now + std::chrono::duration_cast<Clock::duration>(
+                   *RemovedAfter + RemovalLimit - BootClock::now());
+}
+
+void KnownRegistry::apply(RegistryChanges &Changes, EntryOrigin Origin,
+                          TimePoint FallbackUntil) {
   const TimePoint Now = Clock::now();
   if (Changes.Routes)
     Target.applyRoutes(
@@ -28,7 +53,7 @@
       Target.updateServer(std::move(*Change.Record), Change.Position, Now,
                           Level, Origin);
     else
-      Target.removeServer(Change.Name, Change.Position, Now);
+      Target.removeServer(Change.Name, Change.Position, Now, FallbackUntil);
   }
 }
 
@@ -72,11 +97,13 @@
   Target.servers().changeEvacuations([&](Evacuations &Known) {
     Known.retain(std::move(Present.Evacuations), First, Now);
   });
-  Target.retainServers(std::move(Present.Servers), First, Now);
+  Target.retainServers(std::move(Present.Servers), First, Now,
+                       fallbackLimit(CurrentAt, Now));
   EvacuationsKnown = true;
   reportUnknownDomains();
   moveTo(First);
   View.VerifiedAt = Started;
+  CurrentAt = Started;
 }
 
 void KnownRegistry::mergeSnapshot(RegistryChanges &Snapshot) {
@@ -123,19 +150,21 @@
     ConfirmAt = BootClock::now() + ConfirmationTime;
 }
 
-void KnownRegistry::applyChanges(
-    RegistryChanges &Changes, std::optional<BootClock::time_point> VerifiedAt) {
+void KnownRegistry::applyChanges(RegistryChanges &Changes,
+                                 std::optional<AnswerTimes> Times) {
   applyEvacuations(Changes, EvacuationSource::Write);
-  apply(Changes, EntryOrigin::Write);
+  apply(Changes, EntryOrigin::Write,
+        fallbackLimit(changedAfter(Times, CurrentAt), Clock::now()));
   View.AsOf = std::max(View.AsOf, Changes.AsOf);
   if (!Changes.Evacuations.empty()) {
     reportUnknownDomains();
     // A relay also passes on evacuations of an earlier era.
     scheduleConfirmation();
   }
-  if (!VerifiedAt)
+  if (!Times)
     return;
-  View.VerifiedAt = std::max(View.VerifiedAt, *VerifiedAt);
+  CurrentAt = Times->CurrentAt;
+  View.VerifiedAt = std::max(View.VerifiedAt, Times->VerifiedAt);
   if (ConfirmAt && View.VerifiedAt >= *ConfirmAt) {
     ConfirmAt.reset();
     const TimePoint Now = Clock::now();
--- a/packages/forwarding/src/buckthorndeck/forwarding/KnownRegistry.h
+++ b/packages/forwarding/src/buckthorndeck/forwarding/KnownRegistry.h
@@ -10,6 +10,16 @@
 
 namespace buckthorndeck::forwarding {
 
+//! How far an answer of the store or of a relay shows all changes.
+struct AnswerTimes {
+  //! There was no change after the answer's position at this time: the start of
+  //! the call.
+  BootClock::time_point VerifiedAt;
+  //! A store that is not disturbed has made the changes that the answer lacks
+  //! after this. It answers a watch as soon as there is a change.
+  BootClock::time_point CurrentAt;
+};
+
 /**
  * What this host knows of the platform's store, and the only place that changes
  * it. Follows the rule in RegistryOrder.h.
@@ -17,9 +27,16 @@
 class KnownRegistry {
 public:
   //! After a change of the era, entries that are missing or older count only
-  //! once the view is complete as of ConfirmationTime later.
-  KnownRegistry(Forwarder &Target, Milliseconds ConfirmationTime)
-      : Target(Target), ConfirmationTime(ConfirmationTime) {}
+  //! once the view is complete as of ConfirmationTime later. A server gets no
+  //! new flows later than RemovalLimit after the store has removed its entry.
+  KnownRegistry(Forwarder &Target, Milliseconds ConfirmationTime,
+                Milliseconds RemovalLimit)
+      : Target(Target), ConfirmationTime(ConfirmationTime),
+        RemovalLimit(RemovalLimit) {}
+
+  //! The store did not answer: entries may lapse of servers that run, and come
+  //! back soon after the store does.
+  void recordStoreFailure() { CurrentAt.reset(); }
 
   //! Applies one page of a complete read.
   void applyPage(RegistryChanges &Page);
@@ -33,10 +50,9 @@
   //! Merges only the evacuations of a peer's snapshot, so that the view stays,
   //! from which calls in progress lead on.
   void mergeEvacuations(const RegistryChanges &Snapshot);
-  //! Applies changes that lead on from the view. VerifiedAt is the time up to
-  //! which they are complete, if that is known.
-  void applyChanges(RegistryChanges &Changes,
-                    std::optional<BootClock::time_point> VerifiedAt);
+  //! Applies changes that lead on from the view. Times says how far they are
+  //! complete, if that is known.
+  void applyChanges(RegistryChanges &Changes, std::optional<AnswerTimes> Times);
 
   const RegistryView &view() const { return View; }
   //! Whether the view includes evacuations: not if it continues from the
@@ -51,7 +67,10 @@
   }
 
 private:
-  void apply(RegistryChanges &Changes, EntryOrigin Origin);
+  void apply(RegistryChanges &Changes, EntryOrigin Origin,
+             TimePoint FallbackUntil = TimePoint::max());
+  TimePoint fallbackLimit(std::optional<BootClock::time_point> RemovedAfter,
+                          TimePoint Now) const;
   void applyEvacuations(const RegistryChanges &Changes,
                         EvacuationSource Source);
   void reportUnknownDomains();
@@ -60,7 +79,11 @@
 
   Forwarder &Target;
   Milliseconds ConfirmationTime;
+  Milliseconds RemovalLimit;
   RegistryView View;
+  //! AnswerTimes::CurrentAt of the last complete answer; no value if the store
+  //! has failed since.
+  std::optional<BootClock::time_point> CurrentAt;
   bool EvacuationsKnown = true;
   std::optional<BootClock::time_point> ConfirmAt;
 };
--- a/packages/forwarding/src/buckthorndeck/forwarding/Placement.cpp
+++ b/packages/forwarding/src/buckthorndeck/forwarding/Placement.cpp
@@ -43,7 +43,8 @@
   return !Candidate.Registered && !Candidate.Superseded &&
          !Candidate.Record.Draining &&
          Candidate.State == Reachability::Reachable &&
-         Now - Candidate.RemovedAt < RecentlyRemovedTime;
+         Now - Candidate.RemovedAt < RecentlyRemovedTime &&
+         Now < Candidate.FallbackUntil;
 }
 
 bool isUnresponsive(const Server &Candidate) {
--- a/packages/forwarding/src/buckthorndeck/forwarding/RegistryReader.cpp
+++ b/packages/forwarding/src/buckthorndeck/forwarding/RegistryReader.cpp
@@ -110,8 +110,8 @@
                                RegistrySource Source, Forwarder &Target,
                                PeerDirectory &Peers)
     : Options(Options), Source(std::move(Source)), Target(Target), Peers(Peers),
-      Known(Target, Options.ConfirmationTime), Where(Where),
-      Wake(std::make_shared<Notifier>(Where)),
+      Known(Target, Options.ConfirmationTime, Options.RemovalLimit),
+      Where(Where), Wake(std::make_shared<Notifier>(Where)),
       LoadedOrStopped(std::make_shared<Notifier>(Where)),
       Random(Options.RandomSeed),
       ServedChanges(Where, Known.view(), Target, maxRelayedAge(Options)),
@@ -188,6 +188,8 @@
   ++StoreCalls;
   if (Failure) {
     ++ConsecutiveFailures;
+    if (Failure->Code != ErrorCode::TooLarge)
+      Known.recordStoreFailure();
     logStoreFailure(*Failure, ConsecutiveFailures, LastAnswerAt);
     return;
   }
@@ -377,9 +379,10 @@
     co_return false;
   const bool Truncated = mayBeTruncated(*Changes);
   const std::size_t Events = Changes->Events;
-  Known.applyChanges(*Changes,
-                     Truncated ? std::nullopt
-                               : std::optional<BootClock::time_point>(Started));
+  std::optional<AnswerTimes> Times;
+  if (!Truncated)
+    Times = {.VerifiedAt = Started, .CurrentAt = BootClock::now()};
+  Known.applyChanges(*Changes, Times);
   ServedChanges.recordAttempt();
   if (Events > 0 && !Truncated)
     co_await pause(watchesBriefly() ? Options.RelayPause : Options.ChangePause);
--- a/packages/forwarding/src/buckthorndeck/forwarding/RegistryReader.h
+++ b/packages/forwarding/src/buckthorndeck/forwarding/RegistryReader.h
@@ -34,6 +34,9 @@
   //! After the store came back from a copy, its writers have written again what
   //! the copy lacks, and entries of servers that are gone have lapsed.
   Milliseconds ConfirmationTime{4500};
+  //! A server gets no new flows later than this after the store has removed its
+  //! entry.
+  Milliseconds RemovalLimit{2900};
   config::BackoffOptions Backoff{.First = Milliseconds(100),
                                  .Max = Milliseconds(1000)};
   std::uint64_t RandomSeed = 1;
--- a/packages/forwarding/src/buckthorndeck/forwarding/RelayFollower.cpp
+++ b/packages/forwarding/src/buckthorndeck/forwarding/RelayFollower.cpp
@@ -133,11 +133,11 @@
   LastFollowed = Followed.Name.value();
   // Without an era, the answer may come from a host that has not noticed a
   // restoration, so that it doesn't show that the view is complete.
-  const auto VerifiedAt =
-      Received.NamesEra
-          ? std::optional<BootClock::time_point>(Asked - Received.Age)
-          : std::nullopt;
-  Known.applyChanges(Received.Changes, VerifiedAt);
+  std::optional<AnswerTimes> Times;
+  if (Received.NamesEra)
+    Times = {.VerifiedAt = Asked - Received.Age,
+             .CurrentAt = Asked - Received.Age};
+  Known.applyChanges(Received.Changes, Times);
   co_return true;
 }
 
--- a/packages/forwarding/src/buckthorndeck/forwarding/ServerDirectory.cpp
+++ b/packages/forwarding/src/buckthorndeck/forwarding/ServerDirectory.cpp
@@ -127,14 +127,15 @@
 }
 
 void ServerDirectory::markUnregistered(Server &Backend, StorePosition Position,
-                                       TimePoint Now) {
+                                       TimePoint Now, TimePoint FallbackUntil) {
   Backend.Registered = false;
   Backend.RemovedAt = Now;
+  Backend.FallbackUntil = FallbackUntil;
   Backend.Position = Position;
 }
 
 Server *ServerDirectory::remove(const std::string &Name, StorePosition Position,
-                                TimePoint Now) {
+                                TimePoint Now, TimePoint FallbackUntil) {
   const auto SameName = ByName.find(Name);
   if (SameName == ByName.end() || Position < SameName->second->Position)
     return nullptr;
@@ -144,7 +145,7 @@
     Known.Position = Position;
     return nullptr;
   }
-  markUnregistered(Known, Position, Now);
+  markUnregistered(Known, Position, Now, FallbackUntil);
   return &Known;
 }
 
@@ -185,7 +186,8 @@
 
 std::vector<Server *> ServerDirectory::retain(std::vector<std::string> Present,
                                               StorePosition Position,
-                                              TimePoint Now) {
+                                              TimePoint Now,
+                                              TimePoint FallbackUntil) {
   std::vector<Server *> Removed;
   std::sort(Present.begin(), Present.end());
   for (const auto &[Name, Backend] : ByName)
@@ -194,7 +196,7 @@
         !std::binary_search(Present.begin(), Present.end(), Name))
       Removed.push_back(Backend);
   for (Server *Backend : Removed)
-    markUnregistered(*Backend, Position, Now);
+    markUnregistered(*Backend, Position, Now, FallbackUntil);
   return Removed;
 }
 
--- a/packages/forwarding/src/buckthorndeck/forwarding/ServerDirectory.h
+++ b/packages/forwarding/src/buckthorndeck/forwarding/ServerDirectory.h
@@ -87,6 +87,8 @@
   StorePosition Position; //!< Where its entry was last written or removed.
   bool Registered = true; //!< Its registry entry exists.
   TimePoint RemovedAt;    //!< When Registered became false.
+  //! Latest time at which it may get new flows after its removal.
+  TimePoint FallbackUntil = TimePoint::max();
   //! Another process has been started under its name.
   bool Superseded = false;
   TimePoint WarmupEndsAt;  //!< End of its slow start.
@@ -136,8 +138,8 @@
                 EntryOrigin Origin = EntryOrigin::Write);
   //! Marks the server as unregistered as of Position. Null if no such server
   //! was registered or a later position is known.
-  Server *remove(const std::string &Name, StorePosition Position,
-                 TimePoint Now);
+  Server *remove(const std::string &Name, StorePosition Position, TimePoint Now,
+                 TimePoint FallbackUntil = TimePoint::max());
   //! Takes over that a peer saw an entry removed, as decideRemoval() says. The
   //! position of Removed is that of the removal. Returns the server if it was
   //! registered until now.
@@ -146,7 +148,8 @@
   //! of Position, as unregistered, unless its entry is newer than the read or
   //! of an earlier era. Returns these servers.
   std::vector<Server *> retain(std::vector<std::string> Present,
-                               StorePosition Position, TimePoint Now);
+                               StorePosition Position, TimePoint Now,
+                               TimePoint FallbackUntil = TimePoint::max());
   //! Whether entries of Era are withheld or servers have an entry of an earlier
   //! era only.
   bool hasUnconfirmed(StoreEra Era) const;
@@ -206,7 +209,8 @@
 private:
   void addUnregistered(RegistryEntry Removed, TimePoint Now);
   void withhold(ServerRecord Record, StorePosition Position);
-  void markUnregistered(Server &Backend, StorePosition Position, TimePoint Now);
+  void markUnregistered(Server &Backend, StorePosition Position, TimePoint Now,
+                        TimePoint FallbackUntil = TimePoint::max());
   void eraseFromIndexes(Server &Backend);
   Server *findSuccessor(const Server &Backend) const;
 
--- a/packages/forwarding/tests/PlacementTests.cpp
+++ b/packages/forwarding/tests/PlacementTests.cpp
@@ -160,6 +160,21 @@
   CHECK(Site.place().Chosen == &Unhealthy);
 }
 
+TEST_CASE("A removed server gets no flow once the time of its removal forbids "
+          "it",
+          "[placement]") {
+  // Guards against flows that reach a server longer after the store has removed
+  // it than a host may take: it learned of the removal late (review case 7).
+  PlacementFixture Site;
+  Server &Removed = Site.add(0, "north");
+  Removed.Registered = false;
+  Removed.RemovedAt = Start - Milliseconds(500);
+  Removed.FallbackUntil = Start + Milliseconds(1);
+  CHECK(Site.place().Chosen == &Removed);
+  Removed.FallbackUntil = Start;
+  CHECK(Site.place().Reason == PlacementReason::NoServer);
+}
+
 TEST_CASE("A draining server gets no flow even if it is the only one",
           "[placement]") {
   PlacementFixture Site;
--- a/packages/forwarding/tests/RegistryReaderTests.cpp
+++ b/packages/forwarding/tests/RegistryReaderTests.cpp
@@ -245,6 +245,35 @@
   CHECK(Site.Host.servers().find(tokenOf(makeServer(1))));
 }
 
+TEST_CASE("The time of a removal is limited by the answer before it",
+          "[registry_reader]") {
+  // Guards against flows to servers that left the registry during the pause
+  // after an answer, for the pause too long (review case 7).
+  const Milliseconds Pause(200);
+  ReaderFixture Site(Pause);
+  Site.start();
+  runTask(Site.Context, Site.Store.waitWatches(1));
+  const bool StoreFailed = GENERATE(false, true);
+  CAPTURE(StoreFailed);
+  if (StoreFailed)
+    Site.Store.answerWatch(Unexpected(makeError(ErrorCode::Timeout)));
+  else
+    Site.Store.answerWatch(RegistryChanges{.AsOf = at(6), .Events = 1});
+  runTask(Site.Context, Site.Store.waitWatches(2));
+  const TimePoint Asked = Clock::now();
+  Site.Store.answerWatch(RegistryChanges{
+      .Servers = {{.Name = makeServer(0).Name, .Position = at(7)}},
+      .AsOf = at(7),
+      .Events = 1});
+  runTask(Site.Context, Site.Store.waitWatches(3));
+  const Server &Removed = *Site.Host.servers().find(tokenOf(makeServer(0)));
+  REQUIRE_FALSE(Removed.Registered);
+  if (StoreFailed)
+    CHECK(Removed.FallbackUntil == TimePoint::max());
+  else
+    CHECK(Removed.FallbackUntil <= Asked - Pause + Milliseconds(2900));
+}
+
 TEST_CASE("A failed watch is repeated from the same revision",
           "[registry_reader]") {
   ReaderFixture Site;
