Dispatcher: a waiting request is not sent to a service that its address has left

A request that waited for a server, or was retried, ran at the service that its address had when the request arrived, however long ago that was. Cause: the service is looked up once, on arrival; servers, limits and evacuations each time that a server is chosen. Change: a job carries the address that its caller used, and is sent only while the service has that address. Otherwise it ends as not_run (address_moved), or as unknown after a lost connection. Requests that a server has started and subscriptions stay. Evidence: with the check taken out, both new test cases of DispatcherTests fail. routing_tests: 53 test cases passed.

--- a/packages/entryhost/src/buckthorndeck/entryhost/PacketSettings.cpp
+++ b/packages/entryhost/src/buckthorndeck/entryhost/PacketSettings.cpp
@@ -73,7 +73,7 @@
       "description": "ms within which a change in the store must be in force; half of it separates a change from the next watch, so that one call reads several changes; after two thirds of it without news from a relay, a host asks the store"},
     "drain_within_ms": {"type": "integer", "minimum": 100, "maximum": 600000,
       "default": 600000,
-      "description": "ms within which a server that the store says is draining must get no new flows; the shortest one of this, evacuate_within_ms and apply_within_ms counts for all"},
+      "description": "ms within which a server that the store says is draining or has removed must get no new flows; the shortest one of this, evacuate_within_ms and apply_within_ms counts for all"},
     "evacuate_within_ms": {"type": "integer", "minimum": 100, "maximum": 600000,
       "default": 600000,
       "description": "ms within which the servers of an evacuated failure domain must get no new flows; the shortest one of this, drain_within_ms and apply_within_ms counts for all"},
--- a/packages/entryhost/src/buckthorndeck/entryhost/RequestService.cpp
+++ b/packages/entryhost/src/buckthorndeck/entryhost/RequestService.cpp
@@ -150,6 +150,7 @@
                      .OnlyExecutor = Origin.Status == TokenStatus::Valid};
   routing::Job Job{.Service =
                        findService(Context.Services, Request.Service)->Service,
+                   .Address = Request.Service,
                    .Operation = Request.Operation,
                    .Idempotent = Origin.Repeatable,
                    .Deadline = Now + Request.Deadline,
--- a/packages/routing/src/buckthorndeck/routing/Dispatcher.cpp
+++ b/packages/routing/src/buckthorndeck/routing/Dispatcher.cpp
@@ -74,7 +74,12 @@
       auto &Declared = Servers[Rule.Service];
       limitByRendezvousHash(Declared, Options.Host,
                             Options.MaxServersPerService);
-      findOrAdd(Rule.Service)->apply(Rule, Declared);
+      const auto Service = Objects.Services.find(Rule.Service);
+      const auto Pool = findOrAdd(Rule.Service);
+      Pool->Address = Service == Objects.Services.end()
+                          ? std::nullopt
+                          : std::optional(Service->second.Address);
+      Pool->apply(Rule, Declared);
     }
   }
 
--- a/packages/routing/src/buckthorndeck/routing/Dispatcher.h
+++ b/packages/routing/src/buckthorndeck/routing/Dispatcher.h
@@ -27,6 +27,9 @@
 //! flow's affinity.
 struct Job {
   ObjectName Service;
+  //! Address that the caller sent the request to. If it belongs to another
+  //! service by the time that the job would be sent to a server, it is not.
+  std::optional<ServiceAddress> Address;
   std::string Operation;
   bool Idempotent = false;
   TimePoint Deadline;
--- a/packages/routing/src/buckthorndeck/routing/internal/JobTask.cpp
+++ b/packages/routing/src/buckthorndeck/routing/internal/JobTask.cpp
@@ -54,6 +54,8 @@
     return "cancelled";
   if (Now >= Request.Deadline)
     return "deadline";
+  if (Request.Address && Request.Address != Pool->Address)
+    return "address_moved";
   return Pool->refusalReason();
 }
 
--- a/packages/routing/src/buckthorndeck/routing/internal/ServicePool.h
+++ b/packages/routing/src/buckthorndeck/routing/internal/ServicePool.h
@@ -73,6 +73,7 @@
   WaitQueue Queue;
   std::uint32_t InFlight = 0;
   config::Rule ServiceRule;
+  std::optional<ServiceAddress> Address; //!< As declared; none if it is not.
   RetryBudget Budget;
 
 private:
--- a/packages/routing/tests/DispatcherTests.cpp
+++ b/packages/routing/tests/DispatcherTests.cpp
@@ -312,6 +312,51 @@
   });
 }
 
+TEST_CASE("A job that waits is not sent to a service that its address has left",
+          "[dispatcher]") {
+  // Guards against requests that run as a former configuration says: a job
+  // keeps its service while it waits, and may be sent long after a change.
+  Fixture Test;
+  Test.declareAddress("front");
+  Test.server("a", answerNothing, /*Slots=*/1);
+  Test.run([](Fixture &F) -> Task<> {
+    co_await F.connect(1);
+    auto Running = F.start(F.jobFor("front"));
+    co_await F.Servers[0]->waitFor<RunCommand>(1);
+    auto Waiting = F.start(F.jobFor("front"));
+    F.declareAddress("back");
+    F.TestDispatcher.apply(F.Objects);
+    const JobResult Result = co_await F.resultOf(Waiting);
+    CHECK(Result.Result == Outcome::NotRun);
+    CHECK(Result.Reason == "address_moved");
+    // What a server has started ends with its answer.
+    F.Servers[0]->sendDone(F.Servers[0]->ids<RunCommand>()[0]);
+    const JobResult Done = co_await F.resultOf(Running);
+    CHECK(Done.Result == Outcome::Ok);
+    CHECK(requestCount(*F.Servers[0]) == 1);
+  });
+}
+
+TEST_CASE("A job is not retried at a service that its address has left",
+          "[dispatcher]") {
+  // Guards against requests that run as a former configuration says when a
+  // connection is lost after the change.
+  Fixture Test;
+  Test.declareAddress("front");
+  Test.server("a", answerNothing, /*Slots=*/1);
+  Test.run([](Fixture &F) -> Task<> {
+    co_await F.connect(1);
+    auto Running = F.start(F.jobFor("front", /*Idempotent=*/true));
+    co_await F.Servers[0]->waitFor<RunCommand>(1);
+    F.declareAddress("back");
+    F.TestDispatcher.apply(F.Objects);
+    F.Servers[0]->disconnect();
+    const JobResult Result = co_await F.resultOf(Running);
+    CHECK(Result.Result == Outcome::Unknown);
+    CHECK(F.TestDispatcher.counters().Retries == 0);
+  });
+}
+
 TEST_CASE("A job that overruns its deadline ends unknown, is cancelled and "
           "frees its slot",
           "[dispatcher]") {
--- a/packages/routing/tests/Fixture.h
+++ b/packages/routing/tests/Fixture.h
@@ -94,6 +94,20 @@
                .Body = toBytes("body")};
   }
 
+  //! Gives the service an address in the next configuration.
+  void declareAddress(const std::string &Address) {
+    const ObjectName Service("ns/service");
+    Objects.Services[Service] = {.Name = Service,
+                                 .Address = ServiceAddress(Address)};
+  }
+
+  //! A job that a caller sent to Address.
+  Job jobFor(const std::string &Address, bool Idempotent = false) {
+    Job Request = job(Idempotent);
+    Request.Address = ServiceAddress(Address);
+    return Request;
+  }
+
   //! Starts a job; the returned object receives its result.
   std::shared_ptr<std::optional<JobResult>>
   start(Job Request, std::shared_ptr<CancelSignal> Signal = nullptr) {
