--- a/review/standins-3/world.py
+++ b/review/standins-3/world.py
@@ -7,6 +7,7 @@
 """
 import asyncio
 import base64
+import bisect
 import json
 import os
 import random
@@ -107,24 +108,37 @@
         self.server = await asyncio.start_server(self.serve, self.ip, 0)
         self.port = self.server.sockets[0].getsockname()[1]
 
-    async def put(self, key, value):
-        self.revision += 1
-        item = {"Key": key, "Value": base64.b64encode(json.dumps(value).encode()).decode(),
-                "Revision": self.revision, "Lease": 0,
-                "Created": self.items.get(key, {"Created": self.revision})["Created"]}
-        self.items[key] = item
-        self.events.append((self.revision, item))
+    def change(self, key, value):
+        """One key as it is written now; each answer that has it repeats this text."""
+        created = self.items[key][0] if key in self.items else self.revision
+        text = json.dumps({"Key": key, "Value": base64.b64encode(value).decode(), "Revision": self.revision,
+                           "Created": created, "Lease": 0}).encode()
+        self.items[key] = (created, text)
+        self.events.append((self.revision, key, text))
+
+    async def tell(self):
         async with self.changed:
             self.changed.notify_all()
-        return self.revision
+
+    async def put(self, key, value):
+        self.revision += 1
+        self.change(key, json.dumps(value).encode())
+        await self.tell()
+
+    async def write(self, puts):
+        """One kv-txn of another writer; takes at most 32 entries."""
+        assert len(puts) <= 32
+        self.revision += 1
+        for key, value in puts.items():
+            self.change(key, value)
+        await self.tell()
 
     async def remove(self, key):
         self.revision += 1
         self.items.pop(key, None)
-        self.events.append((self.revision, {"Key": key, "Revision": self.revision, "Removed": True}))
-        async with self.changed:
-            self.changed.notify_all()
-        return self.revision
+        text = json.dumps({"Key": key, "Revision": self.revision, "Removed": True}).encode()
+        self.events.append((self.revision, key, text))
+        await self.tell()
 
     async def serve(self, reader, writer):
         try:
@@ -140,8 +154,7 @@
                 path, _, query = target.partition("?")
                 fields = dict(part.partition("=")[::2] for part in query.split("&") if part)
                 await asyncio.sleep(0.004)
-                status, body = await self.answer(method, path, fields)
-                text = json.dumps(body).encode()
+                status, text = await self.answer(method, path, fields)
                 writer.write(b"HTTP/1.1 %d X\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n"
                              % (status, len(text)) + text)
                 await writer.drain()
@@ -150,26 +163,29 @@
         finally:
             writer.close()
 
+    def body(self, name, texts, more=b""):
+        return b'{"%s": [%s]%s, "AsOf": %d}' % (name, b", ".join(texts), more, self.revision)
+
     async def answer(self, method, path, fields):
         prefix = fields.get("Prefix", "")
         if method == "GET" and path == "/v1/kv-range":
             keys = sorted(key for key in self.items if key.startswith(prefix) and key > fields.get("after", ""))
-            return 200, {"items": [self.items[key] for key in keys[:500]], "HasMore": len(keys) > 500,
-                         "AsOf": self.revision}
+            return 200, self.body(b"items", [self.items[key][1] for key in keys[:500]],
+                                  b', "HasMore": true' if len(keys) > 500 else b', "HasMore": false')
         if method == "GET" and path == "/v1/kv-watch":
             after, deadline = int(fields["after"]), time.monotonic() + int(fields["WaitMs"]) / 1000
             while True:
-                news = [item for revision, item in self.events
-                        if revision > after and item["Key"].startswith(prefix)]
+                first = bisect.bisect_right(self.events, after, key=lambda event: event[0])
+                news = [text for _, key, text in self.events[first:] if key.startswith(prefix)]
                 left = deadline - time.monotonic()
                 if news or left <= 0:
-                    return 200, {"events": news, "AsOf": self.revision}
+                    return 200, self.body(b"events", news)
                 try:
                     async with self.changed:
                         await asyncio.wait_for(self.changed.wait(), left)
                 except asyncio.TimeoutError:
                     pass
-        return 404, {}
+        return 404, b"{}"
 
 
 class ServerFlow:
@@ -237,7 +253,7 @@
     def reply(self, packet, flags, seq, ack, echo, data=b""):
         return Packet(packet.dst, packet.dport, packet.src, packet.sport, flags, seq, ack, echo, data)
 
-    def receive(self, text, _):
+    def receive(self, text, sender):
         if len(text) < 8:
             return
         wanted = struct.unpack(">Q", text[:8])[0]
@@ -255,6 +271,7 @@
         if packet.flags & SYN:
             if not flow:
                 flow = self.flows[key] = ServerFlow(packet, self.world.random.getrandbits(32))
+                self.world.syn_taken(self, packet, sender)
                 self.syn_ack(packet, flow, 0)
             else:
                 flow.echo = packet.echo
@@ -389,9 +406,11 @@
             return
         # "The client and the server each place in their own packets the last
         # `echo` that they received on a flow."
-        flow.echo = packet.echo
+        if self.world.last_echo or not packet.flags & SYN:
+            flow.echo = packet.echo
         if packet.flags & SYN:
             if flow.server_next is None and packet.ack == flow.next:
+                flow.echo = packet.echo
                 flow.server_next = (packet.seq + 1) & 0xFFFFFFFF
                 flow.changed.set()
                 self.send(flow, flow.packet(ACK, flow.next, flow.server_next))
@@ -546,6 +565,8 @@
         self.servers = []
         self.broken = []        # Rules that were seen broken.
         self.owner = {}         # Server of each open flow.
+        # Whether clients take the echo of a SYN+ACK that they don't accept too.
+        self.last_echo = True
         self.tasks = []
         every = [each.ip for each in self.hosts + self.clients]
         self.packet_port = free_port_everywhere(every, socket.SOCK_DGRAM)
@@ -560,6 +581,9 @@
         text = struct.pack(">IHIH", client, port, route[0], route[1])
         return ready[zlib.crc32(text) % len(ready)]
 
+    def syn_taken(self, server, packet, sender):
+        """A server has taken the opening packet of a flow."""
+
     def opened(self, key, server):
         self.owner[key] = server
 
