--- a/review/standins-3/world.py
+++ b/review/standins-3/world.py
@@ -642,7 +642,10 @@
 
 
 def main(play):
-    """Runs a case; exits with its code and ends all that it started."""
+    """Runs a case and exits with its code; a SIGTERM ends it and all that it started."""
+    def stop(*_):
+        raise SystemExit(2)
+    signal.signal(signal.SIGTERM, stop)
     code = 2
     try:
         code = asyncio.run(play())
