--- a/review/standins-3/world.py
+++ b/review/standins-3/world.py
@@ -569,10 +569,13 @@
         self.last_echo = True
         self.tasks = []
         every = [each.ip for each in self.hosts + self.clients]
-        self.packet_port = free_port_everywhere(every, socket.SOCK_DGRAM)
-        self.ready_port = free_port_everywhere(every, socket.SOCK_STREAM)
-        self.control_port = free_port_everywhere(every, socket.SOCK_STREAM)
-        self.internal_port = free_port_everywhere(every, socket.SOCK_DGRAM)
+        ports = []
+        for kind in (socket.SOCK_DGRAM, socket.SOCK_STREAM, socket.SOCK_STREAM, socket.SOCK_DGRAM):
+            port = free_port_everywhere(every, kind)
+            while port in ports:
+                port = free_port_everywhere(every, kind)
+            ports.append(port)
+        self.packet_port, self.ready_port, self.control_port, self.internal_port = ports
         self.reset_rule = lambda client, flow, sender, own: None
 
     def route_to(self, client, port, route):
